workspace: fix the interfaces of the areas

Cause: several areas are built side by side and need one set of types. Ruled out: traits between areas; a decision is a struct with a step function and the shells around it are closures, so that a recorded trace replays it without any of the I/O. The decisions do nothing yet. Conclusion: areas can start from these interfaces.

--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,5 @@
+//! Not written yet.
+
+fn main() {
+    std::process::exit(2);
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,3 @@
+//! Timed trials, checks by many seeds and figures behind `jybench`.
+
+pub mod report;
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,42 @@
+//! `jybench`: timed trials, checks by many seeds and figures. Not part of CI's verdict.
+
+use std::process::ExitCode;
+
+use anyhow::Result;
+use jy_bench::report;
+
+/// One subcommand: its name, one line of help, and what it runs with the arguments after it.
+struct BenchCommand {
+    name: &'static str,
+    help: &'static str,
+    run: fn(&[String]) -> Result<report::FigureTable>,
+}
+
+/// All subcommands.
+const COMMANDS: &[BenchCommand] = &[];
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let wanted = arguments.first().map(String::as_str);
+    let Some(command) = COMMANDS.iter().find(|command| Some(command.name) == wanted) else {
+        print_help();
+        return ExitCode::from(2);
+    };
+    match (command.run)(&arguments[1..]).and_then(report::FigureTable::finish) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("jybench {}: {error:#}", command.name);
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Prints the subcommands.
+fn print_help() {
+    eprintln!("usage: jybench COMMAND [--seed N] [--out FILE.json]\n\ncommands:");
+    for command in COMMANDS {
+        eprintln!("  {:<12} {}", command.name, command.help);
+    }
+    eprintln!("\nexit: 0 all bounds hold, 1 a bound is broken, 2 it could not run");
+}
--- /dev/null
+++ b/crates/control/src/api.rs
@@ -0,0 +1,102 @@
+//! Events and actions of the controller.
+
+use jy_lease::timing::LeaseTiming;
+use jy_types::member::AgentId;
+use jy_types::name::Name;
+use jy_types::peer::AgentReport;
+use jy_types::peer::ReleaseNotice;
+use jy_types::peer::VoteNotice;
+use jy_types::record::RecordBatch;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Settings of the controller.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ControlSettings {
+    /// Periods of the lease protocol.
+    pub lease: LeaseTiming,
+    /// Monitors of each agent.
+    pub monitors: u32,
+    /// Peak load over mean load of owners that starts a rebalance.
+    pub imbalance_limit: f64,
+    /// Most units of a service in planned moves at once, as a share of all.
+    pub moving_share: f64,
+    /// Most keys pinned apart from their slices, per service.
+    pub pinned_keys: u32,
+}
+
+impl Default for ControlSettings {
+    fn default() -> Self {
+        Self {
+            lease: LeaseTiming::default(),
+            monitors: 3,
+            imbalance_limit: 1.10,
+            moving_share: 0.05,
+            pinned_keys: 64,
+        }
+    }
+}
+
+/// How a write to the store ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WriteEnd {
+    /// It took effect, possibly found out by reading back.
+    Applied {
+        /// The store's revision of the write.
+        revision: u64,
+    },
+    /// Another write came first.
+    Conflict,
+    /// Nobody knows yet; the records will tell.
+    Unknown,
+}
+
+/// What happens to a controller.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ControlEvent {
+    /// This agent holds the role under a term.
+    Elected {
+        /// The term.
+        term: u64,
+    },
+    /// This agent no longer holds the role.
+    Deposed,
+    /// Records changed. Sent whether or not the agent holds the role.
+    Records(RecordBatch),
+    /// A monitor voted.
+    Vote(VoteNotice),
+    /// An agent reported.
+    Report(AgentReport),
+    /// An old owner released units of a planned move.
+    Released(ReleaseNotice),
+    /// A write ended.
+    Written {
+        /// The key.
+        key: Name,
+        /// How.
+        end: WriteEnd,
+    },
+    /// Time passed.
+    Tick,
+}
+
+/// What a controller wants done.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ControlAction {
+    /// Write a record by compare-and-swap. At most one write of a key is under way at a time.
+    Write {
+        /// The key.
+        key: Name,
+        /// The revision that the write replaces; zero if the key is not there.
+        expect: u64,
+        /// JSON text, or none to delete.
+        value: Option<Name>,
+    },
+}
+
+/// An agent the controller has heard of.
+pub type ReportMap = std::collections::BTreeMap<AgentId, AgentReport>;
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,8 @@
+//! The controller: who is a member, who monitors whom, who owns what.
+//!
+//! Any agent may hold the role. All its state can be rebuilt from the store; a stale controller
+//! is harmless, since every write is a compare-and-swap under its term.
+
+pub mod api;
+pub mod core;
+pub mod election;
--- /dev/null
+++ b/crates/kernel/src/logs.rs
@@ -0,0 +1,49 @@
+//! Structured logs: one JSON object a line, one line a change of state.
+
+use std::io::Write;
+
+use flexi_logger::DeferredNow;
+use flexi_logger::FlexiLoggerError;
+use flexi_logger::Logger;
+use flexi_logger::LoggerHandle;
+use log::Record;
+use thiserror::Error;
+
+/// Result of this module.
+pub type Result<T> = std::result::Result<T, LogError>;
+
+/// Why logging did not start.
+#[derive(Debug, Error)]
+pub enum LogError {
+    /// The level or the output was refused.
+    #[error("logging did not start: {0}; use a level such as info or warn")]
+    Start(#[from] FlexiLoggerError),
+}
+
+/// Starts logging to standard error at a level such as `info`.
+///
+/// # Errors
+///
+/// [`LogError::Start`] if the level is not understood or logging runs already.
+pub fn start(level: &str) -> Result<LoggerHandle> {
+    Ok(Logger::try_with_str(level)?.format(write_line).start()?)
+}
+
+/// Writes one record as a JSON object.
+///
+/// # Errors
+///
+/// What the output says.
+fn write_line(
+    output: &mut dyn Write,
+    now: &mut DeferredNow,
+    record: &Record<'_>,
+) -> std::io::Result<()> {
+    let line = serde_json::json!({
+        "at": now.now_utc_owned().to_rfc3339(),
+        "level": record.level().as_str(),
+        "area": record.target(),
+        "message": record.args().to_string(),
+    });
+    write!(output, "{line}")
+}
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,4 @@
+//! Client of the platform's key-value service.
+
+pub mod client;
+pub mod protocol;
--- /dev/null
+++ b/crates/testutils/src/lib.rs
@@ -0,0 +1,3 @@
+//! Small helpers for tests: seeded random numbers and virtual time.
+
+pub mod seeds;
--- /dev/null
+++ b/crates/types/src/finding.rs
@@ -0,0 +1,55 @@
+//! Findings of a check, with their place, collected and reported together.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::name::Name;
+
+/// A place in a text.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TextPlace {
+    /// File name or other source.
+    pub source: Name,
+    /// Line, from 1.
+    pub line: u32,
+    /// Column in characters, from 1.
+    pub column: u32,
+}
+
+impl fmt::Display for TextPlace {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}:{}", self.source, self.line, self.column)
+    }
+}
+
+/// One thing that is wrong, where, and what to do about it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Finding {
+    /// Where.
+    pub place: TextPlace,
+    /// What is wrong.
+    pub message: Name,
+    /// What to do next.
+    pub hint: Name,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}\n  hint: {}", self.place, self.message, self.hint)
+    }
+}
+
+/// All findings of one check.
+#[derive(Clone, Debug, Default, PartialEq, Eq, thiserror::Error)]
+pub struct FindingList(pub Vec<Finding>);
+
+impl fmt::Display for FindingList {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for finding in &self.0 {
+            writeln!(f, "{finding}")?;
+        }
+        write!(f, "{} finding(s)", self.0.len())
+    }
+}
