config: settings of an agent and the backend server's announcement

Cause: the agent, the stand-ins and the first demo need one form of settings. Ruled out: settings on the command line; they grow past what one line bears and have no comments. Change: settings as typed data, read from JSON with comments; the announcement in the shared types. Findings still carry the whole text's place only.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Settings of agents and configuration of workspaces, written in JSON with comments.
+
+pub mod agent;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -4,6 +4,7 @@
 //! crate for the words it shares with the others and never on another area's inside.
 
 pub mod assign;
+pub mod backend;
 pub mod finding;
 pub mod key;
 pub mod member;
