agent: listeners, replica, leases, gate and gateway as thin shells

Cause: no process served a request yet. Ruled out: the workers of actix-server, which run on threads of their own, while the decisions live on one thread; the accept loop is the agent's own on actix-rt instead. Change: the agent's services, tied together by name; JSON-RPC between agents, HTTP for callers, forwarded requests, backend server and operators; dispatches carry a point of the shared boot clock. Conclusion: the first whole path needs the decisions, which are on their way.

--- /dev/null
+++ b/crates/agent/src/feed.rs
@@ -0,0 +1,230 @@
+//! The agent's replica of the store's records: reads the store or pulls from other agents.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jy_feed::replica::RecordReplica;
+use jy_feed::view::FleetView;
+use jy_kernel::state::StateCell;
+use jy_store::client::StoreClient;
+use jy_store::client::StoreError;
+use jy_types::member::AgentId;
+use jy_types::member::MemberRecord;
+use jy_types::member::MemberState;
+use jy_types::name::Name;
+use jy_types::record::Record;
+use jy_types::record::RecordBatch;
+use jy_types::record::SPREAD_PREFIX;
+use tokio::time::sleep;
+
+/// Name of this service.
+pub const SERVICE: &str = "feed";
+
+/// Agents of each availability zone that read the store.
+const WATCHERS_PER_ZONE: usize = 2;
+
+/// Longest wait of a watch, in milliseconds.
+const WATCH_WAIT_MS: u64 = 10_000;
+
+/// Wait after a failed call, in milliseconds.
+const RETRY_WAIT_MS: u64 = 200;
+
+/// Wait between two looks at whether this agent is to read the store, in milliseconds.
+const ROLE_WAIT_MS: u64 = 250;
+
+/// Status of the store for a revision whose deletions it no longer has.
+const GONE: u16 = 410;
+
+/// Called with the new view and what changed.
+pub type ChangeListener = Rc<dyn Fn(&Arc<FleetView>, &RecordBatch)>;
+
+/// The agent's replica and the view made of it.
+pub struct FeedService {
+    replica: StateCell<RecordReplica>,
+    view: RefCell<Arc<FleetView>>,
+    listeners: RefCell<Vec<ChangeListener>>,
+    store_reachable: Cell<Option<bool>>,
+    watching: Cell<bool>,
+}
+
+impl FeedService {
+    /// Makes an empty replica.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            replica: StateCell::new(RecordReplica::new()),
+            view: RefCell::new(Arc::new(FleetView::new())),
+            listeners: RefCell::default(),
+            store_reachable: Cell::new(None),
+            watching: Cell::new(false),
+        }
+    }
+
+    /// Adds a listener for changes.
+    pub fn listen(&self, listener: ChangeListener) {
+        self.listeners.borrow_mut().push(listener);
+    }
+
+    /// Returns the newest view.
+    #[must_use]
+    pub fn view(&self) -> Arc<FleetView> {
+        Arc::clone(&self.view.borrow())
+    }
+
+    /// The replica is complete up to this revision.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.replica.read(RecordReplica::complete_to)
+    }
+
+    /// Whether the last call to the store succeeded.
+    #[must_use]
+    pub const fn store_reachable(&self) -> Option<bool> {
+        self.store_reachable.get()
+    }
+
+    /// Whether this agent reads the store itself.
+    #[must_use]
+    pub const fn is_watching(&self) -> bool {
+        self.watching.get()
+    }
+
+    /// Returns what a replica complete up to `after` lacks.
+    #[must_use]
+    pub fn batch_after(&self, after: u64) -> RecordBatch {
+        self.replica.read(|replica| replica.batch_after(after))
+    }
+
+    /// Takes a batch in and tells the listeners what changed.
+    pub fn take(&self, batch: RecordBatch) {
+        let complete_to = batch.complete_to;
+        if complete_to <= self.revision() {
+            return;
+        }
+        let records = self.replica.step(|replica| replica.with_batch(batch));
+        let old = FleetView::clone(&self.view.borrow());
+        let (view, errors) = old.with_records(&records, complete_to);
+        for error in errors {
+            log::warn!("{error}; the older value stays in force");
+        }
+        let view = Arc::new(view);
+        *self.view.borrow_mut() = Arc::clone(&view);
+        let changed = RecordBatch {
+            records,
+            complete_to,
+        };
+        let listeners = self.listeners.borrow().clone();
+        for listener in listeners {
+            listener(&view, &changed);
+        }
+    }
+
+    /// Notes how a call to the store ended; logs a change.
+    pub fn note_store<T>(&self, result: &Result<T, StoreError>) {
+        let reachable = result.is_ok();
+        if self.store_reachable.replace(Some(reachable)) == Some(reachable) {
+            return;
+        }
+        match result {
+            Ok(_) => log::info!("store reachable"),
+            Err(error) => log::warn!("store unreachable: {error}"),
+        }
+    }
+
+    /// Makes a batch of a whole list: keys that are no longer listed were deleted.
+    fn batch_of_list(&self, mut records: Vec<Record>, revision: u64) -> RecordBatch {
+        let listed: BTreeSet<Name> = records.iter().map(|record| record.key.clone()).collect();
+        let known = self.batch_after(0).records;
+        let deleted = known
+            .into_iter()
+            .filter(|record| record.value.is_some() && !listed.contains(&record.key))
+            .map(|record| Record {
+                revision,
+                value: None,
+                ..record
+            });
+        records.extend(deleted);
+        RecordBatch {
+            records,
+            complete_to: revision,
+        }
+    }
+}
+
+impl Default for FeedService {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Whether an agent is among those of its availability zone that read the store. One that is not
+/// live yet reads it too: nobody tells it anything so far.
+#[must_use]
+pub fn is_watcher(view: &FleetView, id: &AgentId) -> bool {
+    let Some(own) = view.member(id) else {
+        return true;
+    };
+    if own.state == MemberState::Joining {
+        return true;
+    }
+    let same_zone = |member: &&MemberRecord| {
+        member.state == MemberState::Live && member.place.zone == own.place.zone
+    };
+    view.present()
+        .filter(same_zone)
+        .take(WATCHERS_PER_ZONE)
+        .any(|member| member.id == *id)
+}
+
+/// Reads the store while this agent is to do so. Never returns.
+pub async fn watch_store(
+    feed: Rc<FeedService>,
+    store: StoreClient,
+    id: AgentId,
+    forced: Option<bool>,
+) {
+    let mut listed = false;
+    loop {
+        let wanted = forced.unwrap_or_else(|| is_watcher(&feed.view(), &id));
+        feed.watching.set(wanted);
+        if !wanted {
+            sleep(Duration::from_millis(ROLE_WAIT_MS)).await;
+            continue;
+        }
+        let result = read_once(&feed, &store, listed).await;
+        feed.note_store(&result);
+        match result {
+            Ok(()) => listed = true,
+            Err(StoreError::Refused { status: GONE, .. }) => listed = false,
+            Err(_) => sleep(Duration::from_millis(RETRY_WAIT_MS)).await,
+        }
+    }
+}
+
+/// Lists the records, or waits for newer ones.
+///
+/// # Errors
+///
+/// What the store said.
+async fn read_once(
+    feed: &FeedService,
+    store: &StoreClient,
+    listed: bool,
+) -> Result<(), StoreError> {
+    if !listed {
+        let answer = store.list(SPREAD_PREFIX).await?;
+        feed.take(feed.batch_of_list(answer.records, answer.revision));
+        return Ok(());
+    }
+    let after = feed.revision();
+    let answer = store.watch(SPREAD_PREFIX, after, WATCH_WAIT_MS).await?;
+    feed.take(RecordBatch {
+        records: answer.records,
+        complete_to: answer.revision,
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/agent/src/gateway.rs
@@ -0,0 +1,401 @@
+//! Shell of the gateway: takes callers' requests and sends them to gates.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use actix_rt::task::JoinHandle;
+use awc::Client;
+use jy_feed::view::FleetView;
+use jy_feed::view::ServiceKey;
+use jy_kernel::clock;
+use jy_kernel::state::StateCell;
+use jy_route::api::AttemptEnd;
+use jy_route::api::RouteAction;
+use jy_route::api::RouteEvent;
+use jy_route::api::RouteRequest;
+use jy_route::api::RouteSettings;
+use jy_route::core::RouteState;
+use jy_types::member::AgentId;
+use jy_types::request::IN_FLIGHT_HEADER;
+use jy_types::request::KEY_HEADER;
+use jy_types::request::RECEIVED_HEADER;
+use jy_types::request::REQUEST_ID_HEADER;
+use jy_types::request::Refusal;
+use jy_types::request::SERVICE_HEADER;
+use jy_types::request::TIMEOUT_HEADER;
+use jy_types::request::WORKSPACE_HEADER;
+use jy_types::time::Millis;
+use tokio::sync::oneshot;
+
+use crate::exchange::ExchangeReply;
+use crate::exchange::RequestExchange;
+use crate::exchange::read_refusal;
+use crate::gate::GateService;
+use crate::gate::find_service;
+use crate::gate::read_key;
+use crate::http::header;
+use crate::metrics::AgentMetrics;
+use crate::send;
+use crate::send::SendEnd;
+use crate::timer::TickerWake;
+
+/// Name of this service.
+pub const SERVICE: &str = "gateway";
+
+/// Connections to one other agent.
+const FORWARD_CONNECTIONS: usize = 64;
+
+/// Called when the records seem old.
+pub type PullFn = Rc<dyn Fn()>;
+
+/// One attempt of a request.
+#[derive(Default)]
+struct AttemptSlot {
+    task: Option<JoinHandle<()>>,
+    reply: Option<ExchangeReply>,
+}
+
+/// A request that was neither answered nor refused.
+struct OpenCall {
+    exchange: Rc<RequestExchange>,
+    deadline: Millis,
+    reply: oneshot::Sender<ExchangeReply>,
+    attempts: BTreeMap<u32, AttemptSlot>,
+}
+
+/// The gateway with its open requests.
+pub struct GatewayService {
+    id: AgentId,
+    state: StateCell<RouteState>,
+    calls: RefCell<BTreeMap<u64, OpenCall>>,
+    view: RefCell<Arc<FleetView>>,
+    gate: Rc<GateService>,
+    metrics: Rc<AgentMetrics>,
+    client: Client,
+    pull: RefCell<Option<PullFn>>,
+    next_ticket: Cell<u64>,
+    wake: TickerWake,
+}
+
+impl GatewayService {
+    /// Makes a gateway that knows of no agent.
+    #[must_use]
+    pub fn new(id: AgentId, gate: Rc<GateService>, metrics: Rc<AgentMetrics>) -> Self {
+        let state = RouteState::new(RouteSettings::default(), id.incarnation);
+        Self {
+            id,
+            state: StateCell::new(state),
+            calls: RefCell::default(),
+            view: RefCell::new(Arc::new(FleetView::new())),
+            gate,
+            metrics,
+            client: send::client(FORWARD_CONNECTIONS),
+            pull: RefCell::default(),
+            next_ticket: Cell::new(1),
+            wake: TickerWake::default(),
+        }
+    }
+
+    /// Sets what is done when the records seem old.
+    pub fn on_pull(&self, pull: PullFn) {
+        *self.pull.borrow_mut() = Some(pull);
+    }
+
+    /// Wakes the ticker.
+    #[must_use]
+    pub fn wake(&self) -> TickerWake {
+        Rc::clone(&self.wake)
+    }
+
+    /// When routing wants its next tick.
+    #[must_use]
+    pub fn next_tick(&self) -> Millis {
+        self.state.read(RouteState::next_tick)
+    }
+
+    /// Requests that were neither answered nor refused.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.calls.borrow().len()
+    }
+
+    /// Takes a new view in.
+    pub fn on_view(self: &Rc<Self>, view: &Arc<FleetView>) {
+        *self.view.borrow_mut() = Arc::clone(view);
+        self.step(RouteEvent::View(Arc::clone(view)));
+    }
+
+    /// Serves a caller's request.
+    pub async fn handle(self: &Rc<Self>, exchange: RequestExchange) -> ExchangeReply {
+        let started = clock::now();
+        let exchange = Rc::new(exchange);
+        let request = match self.route_request(&exchange, started) {
+            Ok(request) => request,
+            Err(refusal) => return ExchangeReply::Refused(refusal),
+        };
+        let service: ServiceKey = (request.workspace.clone(), request.service.clone());
+        let reply = self.route(exchange, request).await;
+        self.metrics
+            .note_request(&service, &reply, clock::now().since(started));
+        reply
+    }
+
+    /// Routes a request until its answer or its refusal.
+    async fn route(
+        self: &Rc<Self>,
+        exchange: Rc<RequestExchange>,
+        request: RouteRequest,
+    ) -> ExchangeReply {
+        let ticket = request.ticket;
+        let (sender, receiver) = oneshot::channel();
+        let call = OpenCall {
+            exchange,
+            deadline: request.deadline,
+            reply: sender,
+            attempts: BTreeMap::new(),
+        };
+        self.calls.borrow_mut().insert(ticket, call);
+        let guard = CallerGuard::new(self, ticket);
+        self.step(RouteEvent::Arrive(request));
+        let reply = receiver.await;
+        guard.disarm();
+        reply.unwrap_or_else(|_| {
+            let detail = "the gateway lost the request; look before you send it again";
+            ExchangeReply::Refused(Refusal::with_unknown_outcome(detail))
+        })
+    }
+
+    /// Describes a request to the decision.
+    ///
+    /// # Errors
+    ///
+    /// A refusal if the service is unknown or the key is missing.
+    fn route_request(
+        &self,
+        exchange: &RequestExchange,
+        now: Millis,
+    ) -> Result<RouteRequest, Refusal> {
+        let view = Arc::clone(&self.view.borrow());
+        let name: ServiceKey = (exchange.workspace.clone(), exchange.service.clone());
+        let spec = find_service(&view, &name)?;
+        let key = read_key(spec, exchange)?;
+        let rule = spec.rule(exchange.method.as_str(), exchange.bare_path());
+        let wanted = exchange.timeout_ms.unwrap_or(spec.timeout_ms);
+        let ticket = self.next_ticket.get();
+        self.next_ticket.set(ticket + 1);
+        Ok(RouteRequest {
+            ticket,
+            workspace: name.0,
+            service: name.1,
+            key,
+            idempotent: rule.is_some_and(|rule| rule.idempotent),
+            deadline: now.plus(wanted.min(spec.timeout_ms)),
+        })
+    }
+
+    /// Takes an event and does what the decision says.
+    pub fn step(self: &Rc<Self>, event: RouteEvent) {
+        let now = clock::now();
+        let actions = self.state.step(|state| state.step(now, event));
+        for action in actions {
+            self.act(action);
+        }
+        self.wake.notify_one();
+    }
+
+    /// Does one action.
+    fn act(self: &Rc<Self>, action: RouteAction) {
+        match action {
+            RouteAction::Send {
+                ticket,
+                attempt,
+                to,
+                ..
+            } => self.attempt(ticket, attempt, to),
+            RouteAction::Cancel { ticket, attempt } => self.cancel(ticket, attempt),
+            RouteAction::Finish { ticket, attempt } => self.finish(ticket, attempt),
+            RouteAction::Refuse { ticket, refusal } => {
+                self.reply(ticket, ExchangeReply::Refused(refusal));
+            }
+            RouteAction::Pull => {
+                let pull = self.pull.borrow().clone();
+                if let Some(pull) = pull {
+                    pull();
+                }
+            }
+        }
+    }
+
+    /// Sends one attempt to the gate of an agent.
+    fn attempt(self: &Rc<Self>, ticket: u64, attempt: u32, to: AgentId) {
+        let mut calls = self.calls.borrow_mut();
+        let Some(call) = calls.get_mut(&ticket) else {
+            return;
+        };
+        let exchange = Rc::clone(&call.exchange);
+        let deadline = call.deadline;
+        let gateway = Rc::clone(self);
+        let task = actix_rt::spawn(async move {
+            let (end, reply, load) = gateway.send(&to, exchange, deadline).await;
+            gateway.ended(ticket, attempt, end, reply, load);
+        });
+        call.attempts.entry(attempt).or_default().task = Some(task);
+    }
+
+    /// Sends a request to a gate: the own one directly, another's over HTTP.
+    async fn send(
+        &self,
+        to: &AgentId,
+        exchange: Rc<RequestExchange>,
+        deadline: Millis,
+    ) -> (AttemptEnd, Option<ExchangeReply>, Option<u32>) {
+        if *to == self.id {
+            let reply = self.gate.handle(exchange, deadline).await;
+            return (attempt_end(&reply), Some(reply), Some(self.gate.load()));
+        }
+        let address = self
+            .view
+            .borrow()
+            .member(to)
+            .map(|member| member.forward_addr);
+        let Some(address) = address else {
+            return (AttemptEnd::NotSent, None, None);
+        };
+        let headers = forward_headers(&exchange, deadline);
+        match send::send(&self.client, address, &exchange, &headers, deadline).await {
+            SendEnd::Answered { answer, headers } => {
+                if header(&headers, REQUEST_ID_HEADER).is_none() {
+                    return (AttemptEnd::Unknown, None, None);
+                }
+                let load = header(&headers, IN_FLIGHT_HEADER).and_then(|load| load.parse().ok());
+                let reply = match read_refusal(&headers, &answer.body) {
+                    Some(refusal) => ExchangeReply::Refused(refusal),
+                    None => ExchangeReply::Answered(answer),
+                };
+                (attempt_end(&reply), Some(reply), load)
+            }
+            SendEnd::NotSent(_) => (AttemptEnd::NotSent, None, None),
+            SendEnd::Unknown(_) => (AttemptEnd::Unknown, None, None),
+        }
+    }
+
+    /// Takes the end of an attempt.
+    fn ended(
+        self: &Rc<Self>,
+        ticket: u64,
+        attempt: u32,
+        end: AttemptEnd,
+        reply: Option<ExchangeReply>,
+        load: Option<u32>,
+    ) {
+        if let Some(call) = self.calls.borrow_mut().get_mut(&ticket) {
+            call.attempts.entry(attempt).or_default().reply = reply;
+        }
+        self.step(RouteEvent::Ended {
+            ticket,
+            attempt,
+            end,
+            load,
+        });
+    }
+
+    /// Stops an attempt: its connection is closed.
+    fn cancel(&self, ticket: u64, attempt: u32) {
+        let mut calls = self.calls.borrow_mut();
+        let slot = calls
+            .get_mut(&ticket)
+            .and_then(|call| call.attempts.get_mut(&attempt));
+        if let Some(task) = slot.and_then(|slot| slot.task.take()) {
+            task.abort();
+        }
+    }
+
+    /// Gives the caller the answer of an attempt.
+    fn finish(&self, ticket: u64, attempt: u32) {
+        let reply = self
+            .calls
+            .borrow_mut()
+            .get_mut(&ticket)
+            .and_then(|call| call.attempts.get_mut(&attempt))
+            .and_then(|slot| slot.reply.take());
+        if let Some(reply) = reply {
+            self.reply(ticket, reply);
+        }
+    }
+
+    /// Gives the caller its reply.
+    fn reply(&self, ticket: u64, reply: ExchangeReply) {
+        let call = self.calls.borrow_mut().remove(&ticket);
+        if let Some(call) = call {
+            // The caller may be gone.
+            drop(call.reply.send(reply));
+        }
+    }
+}
+
+/// Tells routing that a caller no longer waits, unless it was answered.
+struct CallerGuard {
+    gateway: Rc<GatewayService>,
+    ticket: u64,
+    armed: bool,
+}
+
+impl CallerGuard {
+    /// Guards one request.
+    fn new(gateway: &Rc<GatewayService>, ticket: u64) -> Self {
+        Self {
+            gateway: Rc::clone(gateway),
+            ticket,
+            armed: true,
+        }
+    }
+
+    /// The request was answered.
+    fn disarm(mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        if !self.armed {
+            return;
+        }
+        let gateway = Rc::clone(&self.gateway);
+        let ticket = self.ticket;
+        actix_rt::spawn(async move {
+            gateway.step(RouteEvent::CallerGone { ticket });
+            gateway.calls.borrow_mut().remove(&ticket);
+        });
+    }
+}
+
+/// Tells routing how an attempt ended.
+const fn attempt_end(reply: &ExchangeReply) -> AttemptEnd {
+    match reply {
+        ExchangeReply::Answered(_) => AttemptEnd::Answered,
+        ExchangeReply::Refused(refusal) => AttemptEnd::Refused {
+            kind: refusal.kind,
+            ran: refusal.ran,
+        },
+    }
+}
+
+/// Headers that a forwarded request carries on top of the caller's.
+fn forward_headers(exchange: &RequestExchange, deadline: Millis) -> Vec<(&'static str, String)> {
+    let left_ms = deadline.since(clock::now());
+    let mut headers = vec![
+        (WORKSPACE_HEADER, exchange.workspace.to_string()),
+        (SERVICE_HEADER, exchange.service.to_string()),
+        (REQUEST_ID_HEADER, exchange.request_id.to_string()),
+        (TIMEOUT_HEADER, left_ms.to_string()),
+        (RECEIVED_HEADER, exchange.received.0.to_string()),
+    ];
+    if let Some(key) = &exchange.key {
+        headers.push((KEY_HEADER, key.to_string()));
+    }
+    headers
+}
--- /dev/null
+++ b/crates/agent/src/member.rs
@@ -0,0 +1,149 @@
+//! Keeps the agent's own record in the store: joins, and tells of its backend server.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jy_store::client::StoreClient;
+use jy_store::client::SwapEnd;
+use jy_store::protocol::SwapCall;
+use jy_types::member::Endpoint;
+use jy_types::member::MemberRecord;
+use jy_types::member::MemberState;
+use jy_types::member::MonitorSet;
+use jy_types::record::member_key;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::feed::FeedService;
+use crate::identity::AgentIdentity;
+
+/// Name of this service.
+pub const SERVICE: &str = "member";
+
+/// Wait for the backend server's first announcement before the agent joins without it, in
+/// milliseconds.
+const FIRST_ANNOUNCEMENT_MS: u64 = 3_000;
+
+/// Wait after a failed write, in milliseconds.
+const RETRY_WAIT_MS: u64 = 250;
+
+/// The agent's own record.
+pub struct MemberService {
+    identity: Rc<AgentIdentity>,
+    feed: Rc<FeedService>,
+    store: StoreClient,
+    endpoint: RefCell<Option<Endpoint>>,
+    changed: Notify,
+    joined: Cell<bool>,
+}
+
+impl MemberService {
+    /// Makes the service; [`Self::run`] joins.
+    #[must_use]
+    pub fn new(identity: Rc<AgentIdentity>, feed: Rc<FeedService>, store: StoreClient) -> Self {
+        Self {
+            identity,
+            feed,
+            store,
+            endpoint: RefCell::default(),
+            changed: Notify::new(),
+            joined: Cell::new(false),
+        }
+    }
+
+    /// Notes the backend server beside the agent, or that it is gone.
+    pub fn set_endpoint(&self, endpoint: Option<Endpoint>) {
+        if *self.endpoint.borrow() != endpoint {
+            *self.endpoint.borrow_mut() = endpoint;
+            self.changed.notify_one();
+        }
+    }
+
+    /// Looks at the record again: the records changed.
+    pub fn on_view(&self) {
+        self.changed.notify_one();
+    }
+
+    /// Keeps the record as it should be. Never returns.
+    pub async fn run(&self) {
+        let patience = Duration::from_millis(FIRST_ANNOUNCEMENT_MS);
+        // Without an announcement the agent joins as a gateway and monitor.
+        drop(timeout(patience, self.changed.notified()).await);
+        loop {
+            match self.write_due() {
+                None => self.changed.notified().await,
+                Some(call) => self.write(&call).await,
+            }
+        }
+    }
+
+    /// Returns the write that brings the record up to date, or none.
+    fn write_due(&self) -> Option<SwapCall> {
+        let view = self.feed.view();
+        let endpoint = self.endpoint.borrow().clone();
+        let (record, expect) = match view.members.get(&self.identity.id) {
+            None if self.joined.get() => return None,
+            None => (self.first_record(endpoint), 0),
+            Some(known) => {
+                let old = &known.value;
+                if old.state.is_over() || old.endpoint == endpoint {
+                    return None;
+                }
+                let record = MemberRecord {
+                    endpoint,
+                    ..MemberRecord::clone(old)
+                };
+                (record, known.revision)
+            }
+        };
+        let value = serde_json::to_string(&record).ok()?;
+        Some(SwapCall {
+            key: member_key(&self.identity.id),
+            expect,
+            value: Some(value.into()),
+            lease: None,
+        })
+    }
+
+    /// The record that joins.
+    fn first_record(&self, endpoint: Option<Endpoint>) -> MemberRecord {
+        let settings = &self.identity.settings;
+        MemberRecord {
+            id: self.identity.id.clone(),
+            state: MemberState::Joining,
+            place: settings.place.clone(),
+            rpc_addr: settings.listen.peer_rpc,
+            forward_addr: settings.listen.peer_forward,
+            operator_addr: settings.listen.operator,
+            endpoint,
+            monitors: MonitorSet::default(),
+            next_monitors: None,
+            term: 0,
+        }
+    }
+
+    /// Writes the record; what stands afterwards comes with the records.
+    async fn write(&self, call: &SwapCall) {
+        let result = self.store.swap(call).await;
+        self.feed.note_store(&result);
+        match result {
+            Ok(SwapEnd::Applied { revision }) => {
+                self.joined.set(true);
+                self.wait_for(revision).await;
+            }
+            Ok(SwapEnd::Conflict { .. }) | Err(_) => {
+                sleep(Duration::from_millis(RETRY_WAIT_MS)).await;
+            }
+        }
+    }
+
+    /// Waits until the records have a revision.
+    async fn wait_for(&self, revision: u64) {
+        while self.feed.revision() < revision {
+            self.changed.notified().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/send.rs
@@ -0,0 +1,112 @@
+//! Sends a request to the next hop and reads its whole answer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::header::HeaderMap;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
+use awc::Client;
+use awc::Connector;
+use awc::error::SendRequestError;
+use jy_kernel::clock;
+use jy_types::name::Name;
+use jy_types::request::REQUEST_ID_HEADER;
+use jy_types::time::Millis;
+
+use crate::exchange::RequestExchange;
+use crate::exchange::WholeAnswer;
+use crate::http::header;
+
+/// Longest wait for a connection, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 300;
+
+/// Idle connections are closed after this long, in milliseconds; before the other side does it.
+const IDLE_MS: u64 = 15_000;
+
+/// Largest answer, in bytes.
+const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
+
+/// How a send ended.
+#[derive(Clone, Debug)]
+pub enum SendEnd {
+    /// A whole answer of this request came back, with all its headers.
+    Answered {
+        /// The answer.
+        answer: WholeAnswer,
+        /// Every header of it.
+        headers: HeaderMap,
+    },
+    /// No byte of the request went out.
+    NotSent(Name),
+    /// Bytes went out and no whole answer of this request came back.
+    Unknown(Name),
+}
+
+/// Makes a client with at most `connections` to each address.
+#[must_use]
+pub fn client(connections: usize) -> Client {
+    let connector = Connector::new()
+        .limit(connections)
+        .timeout(Duration::from_millis(CONNECT_TIMEOUT_MS))
+        .conn_keep_alive(Duration::from_millis(IDLE_MS));
+    Client::builder()
+        .connector(connector)
+        .disable_redirects()
+        .finish()
+}
+
+/// Sends a request with more headers; gives up at the deadline. A connection whose answer was late
+/// or odd is closed, never used again.
+pub async fn send(
+    client: &Client,
+    address: SocketAddr,
+    exchange: &RequestExchange,
+    more_headers: &[(&'static str, String)],
+    deadline: Millis,
+) -> SendEnd {
+    let left_ms = deadline.since(clock::now());
+    if left_ms == 0 {
+        return SendEnd::NotSent("no time is left".into());
+    }
+    let mut request = client
+        .request(
+            exchange.method.clone(),
+            format!("http://{address}{}", exchange.path),
+        )
+        .timeout(Duration::from_millis(left_ms));
+    *request.headers_mut() = exchange.headers.clone();
+    for (name, value) in more_headers {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            request
+                .headers_mut()
+                .insert(HeaderName::from_static(name), value);
+        }
+    }
+    let mut response = match request.send_body(exchange.body.clone()).await {
+        Ok(response) => response,
+        Err(error) => return failed(&error),
+    };
+    let headers = response.headers().clone();
+    let body = match response.body().limit(ANSWER_LIMIT).await {
+        Ok(body) => body,
+        Err(error) => return SendEnd::Unknown(error.to_string().into()),
+    };
+    let echoed = header(&headers, REQUEST_ID_HEADER);
+    if echoed.is_some_and(|echoed| echoed != &*exchange.request_id) {
+        return SendEnd::Unknown("the answer carries another request's id".into());
+    }
+    SendEnd::Answered {
+        answer: WholeAnswer::new(response.status(), &headers, body),
+        headers,
+    }
+}
+
+/// Tells whether anything of a failed request went out.
+fn failed(error: &SendRequestError) -> SendEnd {
+    let cause = error.to_string().into();
+    match error {
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => SendEnd::NotSent(cause),
+        _ => SendEnd::Unknown(cause),
+    }
+}
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -158,6 +158,8 @@
     },
     /// News of the backend server.
     Backend(BackendNotice),
+    /// The limits of the service changed.
+    Settings(GateSettings),
     /// The agent shuts down: admit nothing new.
     Drain,
     /// Time passed.
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -8,7 +8,6 @@
 
 /// State of a gate.
 #[derive(Clone, Debug)]
-#[expect(dead_code, reason = "the decision is not written yet")]
 pub struct GateState {
     settings: GateSettings,
 }
@@ -26,6 +25,12 @@
         (self, Vec::new())
     }
 
+    /// The limits in force.
+    #[must_use]
+    pub const fn settings(&self) -> &GateSettings {
+        &self.settings
+    }
+
     /// Requests in flight at the backend server.
     #[must_use]
     pub const fn in_flight(&self) -> u32 {
--- a/crates/types/src/peer.rs
+++ b/crates/types/src/peer.rs
@@ -13,6 +13,8 @@
 pub const RENEW_METHOD: &str = "renew";
 /// Method of [`Pull`].
 pub const PULL_METHOD: &str = "pull";
+/// Method of [`RevisionOffer`].
+pub const OFFER_METHOD: &str = "offer";
 /// Method of [`VoteNotice`].
 pub const VOTE_METHOD: &str = "vote";
 /// Method of [`AgentReport`].
@@ -54,6 +56,15 @@
     pub after: u64,
 }
 
+/// Tells that the sender has newer records; the receiver pulls them if it lacks them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RevisionOffer {
+    /// The sender.
+    pub from: AgentId,
+    /// The sender's replica is complete up to this revision.
+    pub revision: u64,
+}
+
 /// A monitor's vote against an agent whose promise has run out. Sent again until the verdict is
 /// in the records.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/types/src/request.rs
+++ b/crates/types/src/request.rs
@@ -26,6 +26,15 @@
 /// Header between agents with the requests in flight at the gate, for choosing between two.
 pub const IN_FLIGHT_HEADER: &str = "jy-in-flight";
 
+/// Header of a refusal with the name of its [`RefusalKind`].
+pub const REFUSAL_HEADER: &str = "jy-refusal";
+/// Header between agents with the wall clock when the request reached its gateway, in milliseconds.
+pub const RECEIVED_HEADER: &str = "jy-received";
+/// Header of a dispatch with the point of `CLOCK_BOOTTIME`, in milliseconds, by which the backend
+/// server must have stopped it. Agent and backend server are on one instance and share that clock,
+/// so a dispatch that was held up on its way runs no longer.
+pub const DEADLINE_HEADER: &str = "jy-deadline";
+
 /// Whether a refused request ran at the backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
