--- a/crates/lease/src/timing.rs
+++ b/crates/lease/src/timing.rs
@@ -19,6 +19,25 @@
     pub dispatch_margin_ms: u64,
 }
 
+impl LeaseTiming {
+    /// How long a monitor's promise lasts on its own clock.
+    #[must_use]
+    pub const fn promise_ms(&self) -> u64 {
+        self.ttl_ms + self.drift_margin_ms
+    }
+
+    /// How long after a monitor was found over nobody counts on its supports any more, on the
+    /// finder's clock.
+    ///
+    /// The monitor may have given its last support one grace after its own lease, and that support
+    /// lasts one TTL. The drift margin is stated for one TTL, so it grows with the whole wait.
+    #[must_use]
+    pub const fn over_wait_ms(&self) -> u64 {
+        let span = self.ttl_ms + self.monitor_grace_ms;
+        span + (span * self.drift_margin_ms).div_ceil(self.ttl_ms)
+    }
+}
+
 impl Default for LeaseTiming {
     fn default() -> Self {
         Self {
--- a/crates/types/src/member.rs
+++ b/crates/types/src/member.rs
@@ -68,16 +68,17 @@
 }
 
 impl MonitorSet {
-    /// Number of unexpired supports that make a lease live: more than half.
+    /// Number of unexpired supports that make a lease live: half of the monitors, rounded up, so
+    /// that one of two monitors may be lost.
     #[must_use]
     pub fn support_quorum(&self) -> usize {
-        self.monitors.len() / 2 + 1
+        self.monitors.len().div_ceil(2).max(1)
     }
 
     /// Number of votes that, with any support quorum, have a monitor in common.
     #[must_use]
     pub fn vote_quorum(&self) -> usize {
-        self.monitors.len() - self.monitors.len() / 2
+        self.monitors.len() / 2 + 1
     }
 }
 
