control: elect a controller and place units

Cause: the election and the controller's decision were stubs. Ruled out: comparing with what the controller remembers of its own writes, since a new controller has nothing to remember; every look compares the records with what should be. Change: election by term and store lease; members, monitors, placement, planned moves, hot keys, rebalance and paced writes, each in its own module. The placement has no test in this commit. Conclusion: a first version to build the agent's shell against.

--- a/crates/control/src/api.rs
+++ b/crates/control/src/api.rs
@@ -24,6 +24,32 @@
     pub moving_share: f64,
     /// Most keys pinned apart from their slices, per service.
     pub pinned_keys: u32,
+    /// Most writes a second, on top of [`Self::write_burst`].
+    pub write_rate: u32,
+    /// Most writes at once.
+    pub write_burst: u32,
+    /// A rule to break, for the proof that a check notices.
+    pub broken: Option<BrokenRule>,
+}
+
+/// A rule of the controller that a trace or a trial may switch off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BrokenRule {
+    /// Units are given to others without waiting for their owner's release or verdict.
+    WaitForOwner,
+    /// The counter of fences starts at zero in the same term.
+    GrowFences,
+    /// Writes go out without the controller's term being higher than the record's.
+    HigherTerm,
+    /// A lost owner's units are not given to others.
+    ReplaceDead,
+    /// A move to an owner that died is not aimed at another.
+    RetargetMoves,
+    /// Owners in availability zones taken out keep their units.
+    DrainZones,
+    /// Loads are not looked at.
+    Rebalance,
 }
 
 impl Default for ControlSettings {
@@ -34,6 +60,9 @@
             imbalance_limit: 1.10,
             moving_share: 0.05,
             pinned_keys: 64,
+            write_rate: 90,
+            write_burst: 40,
+            broken: None,
         }
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,3 +6,14 @@
 pub mod api;
 pub mod core;
 pub mod election;
+mod grants;
+mod hot_keys;
+mod loads;
+mod members;
+mod monitors;
+mod owners;
+mod pages;
+mod rebalance;
+mod services;
+mod tables;
+mod writes;
--- /dev/null
+++ b/crates/control/src/pages.rs
@@ -0,0 +1,134 @@
+//! Changes of one page of the assignment.
+
+use std::collections::BTreeMap;
+
+use jy_types::assign::Grant;
+use jy_types::assign::PageRecord;
+use jy_types::assign::PinnedKey;
+use jy_types::key::KeyHash;
+use jy_types::key::PAGE_SLICES;
+use jy_types::key::PAGES;
+use jy_types::key::Unit;
+use jy_types::member::AgentId;
+
+/// What becomes of one unit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum UnitChange {
+    /// It is granted to an owner under a new fence; a planned move of it ends.
+    Own(AgentId),
+    /// It is to move to another owner once its owner releases it.
+    Move(AgentId),
+    /// A key of its slice is pinned at the slice's owner.
+    Pin(AgentId),
+    /// A pinned key goes back to its slice.
+    Unpin,
+}
+
+/// A page being changed.
+#[derive(Clone, Debug)]
+pub struct PageDraft {
+    page: PageRecord,
+    index: BTreeMap<AgentId, u16>,
+}
+
+impl PageDraft {
+    /// Starts from a page, or from an empty one of this number.
+    #[must_use]
+    pub fn new(number: u32, page: Option<&PageRecord>) -> Self {
+        let mut page = page.cloned().unwrap_or_default();
+        if number < PAGES {
+            page.slices.resize(PAGE_SLICES as usize, Grant::default());
+        }
+        let mut draft = Self {
+            page,
+            index: BTreeMap::new(),
+        };
+        draft.drop_unused_owners();
+        draft
+    }
+
+    /// Applies one change; `fence` is the next one if the change grants.
+    pub fn apply(&mut self, unit: Unit, change: &UnitChange, next_fence: impl FnOnce() -> u64) {
+        match (unit, change) {
+            (Unit::Key(key), UnitChange::Pin(owner)) => self.pin(key, owner, next_fence()),
+            (Unit::Key(key), UnitChange::Unpin) => self.page.pins.retain(|pin| pin.key != key),
+            (_, UnitChange::Own(owner) | UnitChange::Pin(owner)) => {
+                let owner = self.index_of(owner);
+                let fence = next_fence();
+                if let Some(grant) = self.grant_mut(unit) {
+                    grant.owner = Some(owner);
+                    grant.next = None;
+                    grant.fence.0 = fence;
+                }
+            }
+            (_, UnitChange::Move(next)) => {
+                let next = self.index_of(next);
+                if let Some(grant) = self.grant_mut(unit) {
+                    grant.next = Some(next);
+                }
+            }
+            (Unit::Slice(_), UnitChange::Unpin) => {}
+        }
+    }
+
+    /// Returns the page as the next generation, written under a term with a token.
+    #[must_use]
+    pub fn finish(mut self, term: u64, token: u64) -> PageRecord {
+        self.page.term = term;
+        self.page.generation += 1;
+        self.page.token = token;
+        self.drop_unused_owners();
+        self.page
+    }
+
+    /// Adds a pinned key at its place in the order.
+    fn pin(&mut self, key: KeyHash, owner: &AgentId, fence: u64) {
+        let mut grant = Grant {
+            owner: Some(self.index_of(owner)),
+            ..Grant::default()
+        };
+        grant.fence.0 = fence;
+        if let Err(place) = self.page.pins.binary_search_by_key(&key, |pin| pin.key) {
+            self.page.pins.insert(place, PinnedKey { key, grant });
+        }
+    }
+
+    /// Finds the grant of a unit.
+    fn grant_mut(&mut self, unit: Unit) -> Option<&mut Grant> {
+        match unit {
+            Unit::Slice(slice) => self.page.slices.get_mut(slice.page().1),
+            Unit::Key(key) => {
+                let pins = &mut self.page.pins;
+                let place = pins.binary_search_by_key(&key, |pin| pin.key).ok()?;
+                Some(&mut pins[place].grant)
+            }
+        }
+    }
+
+    /// Returns the index of an owner, adding it if it is new.
+    fn index_of(&mut self, owner: &AgentId) -> u16 {
+        if let Some(index) = self.index.get(owner) {
+            return *index;
+        }
+        let index = u16::try_from(self.page.owners.len()).unwrap_or(u16::MAX);
+        self.page.owners.push(owner.clone());
+        self.index.insert(owner.clone(), index);
+        index
+    }
+
+    /// Rebuilds the owners so that only those in use remain.
+    fn drop_unused_owners(&mut self) {
+        let owners = std::mem::take(&mut self.page.owners);
+        self.index.clear();
+        let mut page = std::mem::take(&mut self.page);
+        let pinned = page.pins.iter_mut().map(|pin| &mut pin.grant);
+        for grant in page.slices.iter_mut().chain(pinned) {
+            for slot in [&mut grant.owner, &mut grant.next] {
+                let id = slot.and_then(|index| owners.get(usize::from(index)));
+                *slot = id.map(|id| self.index_of(id));
+            }
+        }
+        page.owners = std::mem::take(&mut self.page.owners);
+        self.page = page;
+    }
+}
