--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -33,8 +33,14 @@
     pub window_bytes: u64,
     /// A new owner after a loss waits this long before it serves, in milliseconds.
     pub dispatch_margin_ms: u64,
-    /// Largest error of a caller's wall clock, in milliseconds.
+    /// Largest difference between a caller's wall clock and an agent's, in milliseconds.
     pub clock_error_ms: u64,
+    /// A caller repeats an id that carries no time within this time or never, in milliseconds.
+    pub plain_id_ms: u64,
+    /// Requests a backend server handles at once when its cold start begins.
+    pub ramp_start: u32,
+    /// Completed answers after which a backend server in cold start is given one more at once.
+    pub ramp_answers: u32,
 }
 
 impl Default for GateSettings {
@@ -48,6 +54,9 @@
             window_bytes: 8 * 1024 * 1024,
             dispatch_margin_ms: 250,
             clock_error_ms: 1_000,
+            plain_id_ms: 60_000,
+            ramp_start: 1,
+            ramp_answers: 16,
         }
     }
 }
@@ -158,6 +167,12 @@
     },
     /// News of the backend server.
     Backend(BackendNotice),
+    /// The agent's wall clock, to be told at the start and every few seconds. Until the first one
+    /// times inside ids of requests count for nothing.
+    Clock {
+        /// The wall clock at this point.
+        wall: WallMillis,
+    },
     /// The agent shuts down: admit nothing new.
     Drain,
     /// Time passed.
--- /dev/null
+++ b/crates/gate/src/request_id.rs
@@ -0,0 +1,18 @@
+//! Times inside ids of requests.
+
+use jy_types::time::WallMillis;
+use uuid::Uuid;
+
+/// Version of UUIDs that begin with a time.
+const TIMED_VERSION: usize = 7;
+
+/// Returns when the caller made an id, by the caller's wall clock, if the id is a UUIDv7.
+#[must_use]
+pub fn first_sent(id: &str) -> Option<WallMillis> {
+    let uuid = Uuid::try_parse(id).ok()?;
+    if uuid.get_version_num() != TIMED_VERSION {
+        return None;
+    }
+    let (seconds, nanos) = uuid.get_timestamp()?.to_unix();
+    Some(WallMillis(seconds * 1_000 + u64::from(nanos) / 1_000_000))
+}
--- /dev/null
+++ b/crates/gate/tests/common/mod.rs
@@ -0,0 +1,174 @@
+//! Small makers of events.
+#![expect(dead_code, reason = "each test file uses some of them")]
+
+use std::sync::Arc;
+
+use jy_gate::api::Arrival;
+use jy_gate::api::BackendNotice;
+use jy_gate::api::DispatchEnd;
+use jy_gate::api::GateAction;
+use jy_gate::api::GateEvent;
+use jy_gate::api::GateSettings;
+use jy_gate::api::OwnedUnit;
+use jy_gate::core::GateState;
+use jy_types::assign::Fence;
+use jy_types::key::SliceId;
+use jy_types::key::Unit;
+use jy_types::peer::StoredAnswer;
+use jy_types::request::RefusalKind;
+use jy_types::request::RunState;
+use jy_types::time::Millis;
+use jy_types::time::WallMillis;
+use jy_types::workspace::Urgency;
+
+/// The unit of most tests.
+pub const UNIT: Unit = Unit::Slice(SliceId(7));
+
+/// When most tests begin.
+pub const START: Millis = Millis(1_000_000);
+
+/// The wall clock at [`START`].
+pub const WALL: WallMillis = WallMillis(1_800_000_000_000);
+
+/// A gate that is driven step by step.
+pub struct GateDriver {
+    state: Option<GateState>,
+    pub now: Millis,
+}
+
+impl GateDriver {
+    /// Makes a gate that serves [`UNIT`], warm, for a long time.
+    pub fn serving(settings: GateSettings) -> Self {
+        let mut driver = Self::new(settings);
+        driver.step(GateEvent::Clock { wall: WALL });
+        driver.step(GateEvent::Lease {
+            until: START.plus(3_600_000),
+        });
+        driver.step(grants(false, true));
+        driver.step(announced(1, false));
+        driver
+    }
+
+    /// Makes a gate that knows nothing.
+    pub fn new(settings: GateSettings) -> Self {
+        Self {
+            state: Some(GateState::new(settings)),
+            now: START,
+        }
+    }
+
+    /// Takes an event.
+    pub fn step(&mut self, event: GateEvent) -> Vec<GateAction> {
+        let state = self.state.take().unwrap();
+        let (state, actions) = state.step(self.now, event);
+        self.state = Some(state);
+        actions
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, millis: u64) -> Vec<GateAction> {
+        self.now = self.now.plus(millis);
+        self.step(GateEvent::Tick)
+    }
+
+    /// Reads the state.
+    pub fn state(&self) -> &GateState {
+        self.state.as_ref().unwrap()
+    }
+}
+
+/// Settings without a ramp.
+pub fn warm() -> GateSettings {
+    GateSettings {
+        slots: 2,
+        ramp_start: 2,
+        ..GateSettings::default()
+    }
+}
+
+/// Grants [`UNIT`].
+pub fn grants(leaving: bool, handed_over: bool) -> GateEvent {
+    let owned = OwnedUnit {
+        fence: Fence(5),
+        leaving,
+        handed_over,
+    };
+    GateEvent::Grants(Arc::new([(UNIT, owned)].into()))
+}
+
+/// An announcement.
+pub fn announced(start_stamp: u64, cold: bool) -> GateEvent {
+    GateEvent::Backend(BackendNotice::Announced {
+        start_stamp,
+        slots: 2,
+        cold,
+        draining: false,
+    })
+}
+
+/// A plain request.
+pub fn arrival(ticket: u64) -> Arrival {
+    Arrival {
+        ticket,
+        unit: Some(UNIT),
+        idempotent: true,
+        idempotency_key: None,
+        digest: 1,
+        urgency: Urgency::Normal,
+        deadline: START.plus(2_000),
+        received: WALL,
+    }
+}
+
+/// A non-idempotent request with an id.
+pub fn order(ticket: u64, id: &str) -> GateEvent {
+    GateEvent::Arrive(Arrival {
+        idempotent: false,
+        idempotency_key: Some(id.into()),
+        ..arrival(ticket)
+    })
+}
+
+/// The end of a request.
+pub fn ended(ticket: u64, end: DispatchEnd) -> GateEvent {
+    GateEvent::Ended { ticket, end }
+}
+
+/// A whole answer.
+pub fn answered(text: &str) -> DispatchEnd {
+    DispatchEnd::Answered {
+        shed: false,
+        answer: Some(StoredAnswer {
+            status: 200,
+            content_type: None,
+            body: text.into(),
+        }),
+    }
+}
+
+/// Tickets that were sent to the backend server.
+pub fn dispatched(actions: &[GateAction]) -> Vec<u64> {
+    let ticket = |action: &GateAction| match action {
+        GateAction::Dispatch { ticket, .. } => Some(*ticket),
+        _ => None,
+    };
+    actions.iter().filter_map(ticket).collect()
+}
+
+/// Refusals with their tickets.
+pub fn refused(actions: &[GateAction]) -> Vec<(u64, RefusalKind, RunState)> {
+    let refusal = |action: &GateAction| match action {
+        GateAction::Refuse { ticket, refusal } => Some((*ticket, refusal.kind, refusal.ran)),
+        _ => None,
+    };
+    actions.iter().filter_map(refusal).collect()
+}
+
+/// A UUIDv7 made at a point of the wall clock.
+pub fn timed_id(wall: u64, number: u64) -> String {
+    format!(
+        "{:08x}-{:04x}-7000-8000-{number:012x}",
+        wall >> 16,
+        wall & 0xffff
+    )
+}
--- /dev/null
+++ b/crates/gate/tests/test_core.rs
@@ -0,0 +1,159 @@
+//! Admission, lease, grants and release.
+
+mod common;
+
+use common::GateDriver;
+use common::START;
+use common::UNIT;
+use common::announced;
+use common::answered;
+use common::arrival;
+use common::dispatched;
+use common::ended;
+use common::grants;
+use common::refused;
+use common::warm;
+use googletest::prelude::*;
+use jy_gate::api::Arrival;
+use jy_gate::api::BackendNotice;
+use jy_gate::api::GateAction;
+use jy_gate::api::GateEvent;
+use jy_types::request::RefusalKind;
+use jy_types::request::RunState;
+use jy_types::time::Millis;
+use jy_types::workspace::Urgency;
+
+/// Lets a plain request arrive.
+fn arrive(driver: &mut GateDriver, ticket: u64) -> Vec<GateAction> {
+    driver.step(GateEvent::Arrive(arrival(ticket)))
+}
+
+#[gtest]
+fn dispatch_ends_with_lease() {
+    let mut driver = GateDriver::serving(warm());
+    driver.step(GateEvent::Lease {
+        until: START.plus(500),
+    });
+    let actions = arrive(&mut driver, 1);
+    let sent = matches!(actions[..], [GateAction::Dispatch { deadline, .. }] if deadline == START.plus(500));
+    expect_that!(sent, eq(true));
+}
+
+#[gtest]
+fn arrive_refuses_without_lease() {
+    let mut driver = GateDriver::serving(warm());
+    driver.step(GateEvent::Lease { until: START });
+    let actions = arrive(&mut driver, 1);
+    let expected = (1, RefusalKind::KeyUnavailable, RunState::No);
+    expect_that!(refused(&actions), elements_are![eq(&expected)]);
+}
+
+#[gtest]
+fn arrive_refuses_foreign_unit() {
+    let mut driver = GateDriver::serving(warm());
+    driver.step(GateEvent::Grants(Default::default()));
+    let actions = arrive(&mut driver, 1);
+    let expected = (1, RefusalKind::NotOwner, RunState::No);
+    expect_that!(refused(&actions), elements_are![eq(&expected)]);
+}
+
+#[gtest]
+fn lapse_cancels_and_refuses() {
+    let mut driver = GateDriver::serving(warm());
+    for ticket in 1..=3 {
+        arrive(&mut driver, ticket);
+    }
+    driver.step(GateEvent::Lease {
+        until: START.plus(500),
+    });
+    expect_that!(driver.state().next_tick(), eq(START.plus(500)));
+    let actions = driver.tick(500);
+    let cancels = actions
+        .iter()
+        .filter(|action| matches!(action, GateAction::Cancel { .. }));
+    expect_that!(cancels.count(), eq(2));
+    let expected = (3, RefusalKind::KeyUnavailable, RunState::No);
+    expect_that!(refused(&actions), elements_are![eq(&expected)]);
+}
+
+#[gtest]
+fn dispatch_serves_urgent_first() {
+    let mut driver = GateDriver::serving(warm());
+    for ticket in 1..=3 {
+        arrive(&mut driver, ticket);
+    }
+    let urgency = Urgency::Urgent;
+    driver.step(GateEvent::Arrive(Arrival {
+        urgency,
+        ..arrival(4)
+    }));
+    let actions = driver.step(ended(1, answered("a")));
+    expect_that!(dispatched(&actions), elements_are![eq(&4)]);
+}
+
+#[gtest]
+fn release_waits_for_work() {
+    let mut driver = GateDriver::serving(warm());
+    arrive(&mut driver, 1);
+    expect_that!(driver.step(grants(true, true)), is_empty());
+    let actions = arrive(&mut driver, 2);
+    expect_that!(refused(&actions)[0].1, eq(RefusalKind::Leaving));
+    let actions = driver.step(ended(1, answered("a")));
+    let released =
+        matches!(&actions[..], [GateAction::Release { units, .. }] if units[..] == [UNIT]);
+    expect_that!(released, eq(true));
+}
+
+#[gtest]
+fn release_comes_at_once_when_idle() {
+    let mut driver = GateDriver::serving(warm());
+    let actions = driver.step(grants(true, true));
+    expect_that!(
+        matches!(actions[..], [GateAction::Release { .. }]),
+        eq(true)
+    );
+    expect_that!(driver.step(grants(true, true)), is_empty());
+}
+
+#[gtest]
+fn takeover_waits_margin() {
+    let mut driver = GateDriver::serving(warm());
+    driver.step(GateEvent::Grants(Default::default()));
+    driver.step(grants(false, false));
+    expect_that!(arrive(&mut driver, 1), is_empty());
+    expect_that!(driver.state().next_tick(), eq(START.plus(250)));
+    expect_that!(dispatched(&driver.tick(250)), elements_are![eq(&1)]);
+}
+
+#[gtest]
+fn drain_refuses_new_and_ends_old() {
+    let mut driver = GateDriver::serving(warm());
+    arrive(&mut driver, 1);
+    driver.step(GateEvent::Drain);
+    let actions = arrive(&mut driver, 2);
+    let expected = (2, RefusalKind::Leaving, RunState::No);
+    expect_that!(refused(&actions), elements_are![eq(&expected)]);
+    driver.step(ended(1, answered("a")));
+    expect_that!(driver.state().is_idle(), eq(true));
+}
+
+#[gtest]
+fn gone_backend_refuses_until_announced() {
+    let mut driver = GateDriver::serving(warm());
+    driver.step(GateEvent::Backend(BackendNotice::Gone));
+    let actions = arrive(&mut driver, 1);
+    expect_that!(refused(&actions)[0].1, eq(RefusalKind::NoEndpoint));
+    driver.step(announced(2, false));
+    expect_that!(dispatched(&arrive(&mut driver, 2)), elements_are![eq(&2)]);
+}
+
+#[gtest]
+fn full_queue_refuses_last() {
+    let mut driver = GateDriver::serving(warm());
+    let actions: Vec<_> = (1..=35)
+        .flat_map(|ticket| arrive(&mut driver, ticket))
+        .collect();
+    let expected = (35, RefusalKind::Overloaded, RunState::No);
+    expect_that!(refused(&actions), elements_are![eq(&expected)]);
+    expect_that!(driver.state().next_tick(), lt(Millis::MAX));
+}
