standins: key-value service over HTTP

The whole path needs the platform's store, which tests replace by a stand-in. One process on one thread with its state in memory; the interface stands in store_api alone. Ruled out: an existing key-value server, since faults (outage, slowness, an answer lost after the write, a lapsed lease) and counts by kind must follow commands. Tried by hand with curl: swap, list, watch over a deletion, 410 after forgotten deletions, a lease's key going after 400 ms, a lost answer whose write took effect.

--- a/crates/standins/src/bin/jystore.rs
+++ b/crates/standins/src/bin/jystore.rs
@@ -1,5 +1,45 @@
-//! Not written yet.
+//! `jystore`: a stand-in for the platform's key-value service.
 
-fn main() {
-    std::process::exit(2);
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use anyhow::Context;
+use anyhow::Result;
+use getopts::Options;
+use jy_standins::store_api;
+use jy_standins::store_api::StoreLimits;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("jystore: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Parses the arguments and serves.
+///
+/// # Errors
+///
+/// If an argument is not understood or the address can't be bound.
+fn run() -> Result<()> {
+    let mut options = Options::new();
+    options.reqopt("", "listen", "address to listen on", "IP:PORT");
+    options.optopt("", "writes", "writes a second", "N");
+    options.optopt("", "reads", "reads a second", "N");
+    let usage = || options.usage("usage: jystore --listen IP:PORT");
+    let matches = options
+        .parse(std::env::args().skip(1))
+        .with_context(usage)?;
+    let listen: SocketAddr = matches.opt_get("listen")?.with_context(usage)?;
+    let standard = StoreLimits::default();
+    let limits = StoreLimits {
+        writes: matches.opt_get_default("writes", standard.writes)?,
+        reads: matches.opt_get_default("reads", standard.reads)?,
+    };
+    actix_rt::System::new()
+        .block_on(store_api::serve(listen, limits))
+        .with_context(|| format!("could not serve on {listen}; is the port in use?"))
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! Small stand-ins for the platform: its key-value service and a backend server.
+//!
+//! No crate of the product depends on this one. The two interfaces that the platform will define
+//! later stand in one module each: [`store_api`] and [`backend_api`].
+
+pub mod http;
+pub mod rate;
+pub mod store_api;
+pub mod store_fault;
+pub mod store_lease;
+pub mod store_state;
