--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,7 +3,13 @@
 //! No crate of the product depends on this one. The two interfaces that the platform will define
 //! later stand in one module each: [`store_api`] and [`backend_api`].
 
+pub mod announce;
+pub mod backend_api;
+pub mod backend_fault;
+pub mod backend_run;
+pub mod backend_state;
 pub mod http;
+pub mod journal;
 pub mod rate;
 pub mod store_api;
 pub mod store_fault;
--- a/crates/standins/src/store_api.rs
+++ b/crates/standins/src/store_api.rs
@@ -123,6 +123,10 @@
 
 impl StoreService {
     /// Answers a request.
+    ///
+    /// # Errors
+    ///
+    /// The answer that refuses it.
     async fn answer(&self, mut request: Request) -> Answer {
         let path = request.path().to_owned();
         match &*path {
@@ -142,6 +146,10 @@
     }
 
     /// Changes the faults.
+    ///
+    /// # Errors
+    ///
+    /// The answer that refuses it.
     fn set_faults(&self, command: &StoreFault) -> Answer {
         let mut faults = self.faults.get();
         faults.outage = command.outage.unwrap_or(faults.outage);
@@ -180,6 +188,10 @@
     }
 
     /// Delays or refuses a call as the faults in force have it.
+    ///
+    /// # Errors
+    ///
+    /// The answer that refuses it.
     async fn suffer_faults(&self) -> Result<(), Response<BoxBody>> {
         let faults = self.faults.get();
         if faults.slow_ms > 0 {
@@ -203,6 +215,10 @@
     }
 
     /// Counts a call and refuses it if it is past the limit.
+    ///
+    /// # Errors
+    ///
+    /// The answer that refuses it.
     fn admit(
         &self,
         limit: &RefCell<RateLimit>,
@@ -220,6 +236,10 @@
     }
 
     /// Lists records.
+    ///
+    /// # Errors
+    ///
+    /// The answer that refuses it.
     fn list(&self, call: &ListCall) -> Answer {
         self.admit(&self.reads, |counts| counts.lists += 1)?;
         let answer = self.state.borrow().list(&call.prefix);
@@ -227,6 +247,10 @@
     }
 
     /// Waits for records.
+    ///
+    /// # Errors
+    ///
+    /// The answer that refuses it.
     async fn watch(&self, call: WatchCall) -> Answer {
         self.admit(&self.reads, |counts| counts.watches += 1)?;
         let mut changed = self.changed.subscribe();
@@ -267,6 +291,10 @@
     }
 
     /// Writes a key.
+    ///
+    /// # Errors
+    ///
+    /// The answer that refuses it.
     async fn swap(&self, call: &SwapCall) -> Answer {
         self.admit(&self.writes, |counts| counts.swaps += 1)?;
         if call.value.as_ref().is_some_and(|v| v.len() > VALUE_LIMIT) {
@@ -283,6 +311,10 @@
     }
 
     /// Grants a lease.
+    ///
+    /// # Errors
+    ///
+    /// The answer that refuses it.
     async fn grant(&self, call: &GrantCall) -> Answer {
         self.admit(&self.writes, |counts| counts.lease_grants += 1)?;
         let now = clock::now();
@@ -292,6 +324,10 @@
     }
 
     /// Renews a lease.
+    ///
+    /// # Errors
+    ///
+    /// The answer that refuses it.
     async fn renew(&self, call: &RenewCall) -> Answer {
         self.admit(&self.writes, |counts| counts.lease_renewals += 1)?;
         let now = clock::now();
@@ -301,6 +337,10 @@
     }
 
     /// Loses the answer of a write that took effect, if that is commanded.
+    ///
+    /// # Errors
+    ///
+    /// The answer that refuses it.
     async fn lose_answer(&self) -> Result<(), Response<BoxBody>> {
         let mut faults = self.faults.get();
         if faults.lose_answers == 0 {
--- /dev/null
+++ b/crates/standins/tests/test_backend_state.rs
@@ -0,0 +1,80 @@
+//! Tests of the backend server's state.
+
+use googletest::prelude::*;
+use jy_standins::backend_fault::RestartKind;
+use jy_standins::backend_state::BackendRefusal;
+use jy_standins::backend_state::BackendSettings;
+use jy_standins::backend_state::BackendState;
+use jy_standins::journal::RunEnd;
+use jy_standins::journal::RunEntry;
+use jy_types::time::Millis;
+
+/// Makes a backend server of four slots that is warm after a second.
+fn state(checks_fence: bool) -> BackendState {
+    let settings = BackendSettings {
+        slots: 4,
+        checks_fence,
+        work_ms: 2,
+        cold_ms: 1_000,
+    };
+    BackendState::new(Millis(0), settings, 7)
+}
+
+/// Makes a run of one unit.
+fn entry(start: u64, fence: u64) -> RunEntry {
+    RunEntry {
+        request_id: None,
+        idempotency_key: None,
+        unit: Some("u".into()),
+        key: None,
+        fence,
+        path: "/".into(),
+        start: Millis(start),
+        end: Millis::MAX,
+        how: RunEnd::Open,
+    }
+}
+
+#[gtest]
+fn begin_refuses_lower_fence_if_it_checks() {
+    let mut checks = state(true);
+    assert_that!(checks.begin(entry(2_000, 5)), ok(eq(0)));
+    assert_that!(
+        checks.begin(entry(2_000, 4)),
+        err(eq(BackendRefusal::StaleFence))
+    );
+    let mut blind = state(false);
+    assert_that!(blind.begin(entry(2_000, 5)), ok(eq(0)));
+    assert_that!(blind.begin(entry(2_000, 4)), ok(eq(1)));
+}
+
+#[gtest]
+fn begin_sheds_past_the_slots_when_warm() {
+    let mut state = state(false);
+    let ends: Vec<bool> = (0..5)
+        .map(|_| state.begin(entry(1_000, 1)).is_ok())
+        .collect();
+    assert_that!(ends, eq(&vec![true, true, true, true, false]));
+    assert_that!(state.counts().shed, eq(1));
+    state.end(0, Millis(1_001), RunEnd::Done);
+    assert_that!(state.begin(entry(1_001, 1)), ok(anything()));
+}
+
+#[gtest]
+fn begin_falls_over_in_a_cold_start() {
+    let mut state = state(false);
+    assert_that!(state.begin(entry(100, 1)), ok(anything()));
+    assert_that!(
+        state.begin(entry(100, 1)),
+        err(eq(BackendRefusal::FellOver))
+    );
+    state.restart(Millis(100), 8, RestartKind::Silent);
+    assert_that!(state.says_cold(Millis(200)), eq(false));
+    assert_that!(state.begin(entry(200, 1)), ok(anything()));
+    state.end(0, Millis(200), RunEnd::Lost);
+    assert_that!(
+        state.begin(entry(200, 1)),
+        err(eq(BackendRefusal::FellOver))
+    );
+    assert_that!(state.counts().overruns, eq(2));
+}
