agent: advertise other addresses than those listened on

Cuts between two agents need a relay on the way, so an agent may name the addresses that others dial (settings: advertise.peer_rpc, advertise.peer_forward; by default those it listens on). Also of use behind address translation. Ruled out: firewall rules, which need privileges.

--- a/crates/agent/src/member.rs
+++ b/crates/agent/src/member.rs
@@ -111,13 +111,15 @@
     /// The record that joins.
     fn first_record(&self, endpoint: Option<Endpoint>) -> MemberRecord {
         let settings = &self.identity.settings;
+        let listen = &settings.listen;
+        let advertise = &settings.advertise;
         MemberRecord {
             id: self.identity.id.clone(),
             state: MemberState::Joining,
             place: settings.place.clone(),
-            rpc_addr: settings.listen.peer_rpc,
-            forward_addr: settings.listen.peer_forward,
-            operator_addr: settings.listen.operator,
+            rpc_addr: advertise.peer_rpc.unwrap_or(listen.peer_rpc),
+            forward_addr: advertise.peer_forward.unwrap_or(listen.peer_forward),
+            operator_addr: listen.operator,
             endpoint,
             monitors: MonitorSet::default(),
             next_monitors: None,
--- a/crates/config/src/agent.rs
+++ b/crates/config/src/agent.rs
@@ -28,6 +28,16 @@
     pub operator: SocketAddr,
 }
 
+/// Addresses that other agents use, where they differ from those listened on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct AdvertiseSettings {
+    /// JSON-RPC of other agents.
+    pub peer_rpc: Option<SocketAddr>,
+    /// Requests that other agents forward.
+    pub peer_forward: Option<SocketAddr>,
+}
+
 /// Limits on what a caller may send.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -79,6 +89,9 @@
     pub place: Place,
     /// Addresses that it listens on.
     pub listen: ListenSettings,
+    /// Addresses that other agents use, where they differ from those listened on.
+    #[serde(default)]
+    pub advertise: AdvertiseSettings,
     /// Address of the platform's key-value service.
     pub store: SocketAddr,
     /// Level of the logs.
