--- /dev/null
+++ b/crates/bench/src/fleet.rs
@@ -0,0 +1,486 @@
+//! A fleet of agents and backend servers as plain processes on the loopback interface.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::Context;
+use anyhow::Result;
+use anyhow::bail;
+use awc::Client;
+use jy_kernel::clock;
+use jy_standins::backend_fault;
+use jy_standins::backend_fault::BackendCounts;
+use jy_standins::backend_fault::BackendFault;
+use jy_standins::journal::JOURNAL_PATH;
+use jy_standins::journal::RunEntry;
+use jy_standins::store_fault;
+use jy_standins::store_fault::CallCounts;
+use jy_standins::store_fault::StoreFault;
+use jy_store::client::StoreClient;
+use jy_store::client::SwapEnd;
+use jy_store::protocol::SwapCall;
+use jy_types::member::MemberState;
+use jy_types::name::Name;
+use jy_types::record::workspace_key;
+use jy_types::status::AgentStatus;
+use jy_types::status::OWNER_PATH;
+use jy_types::status::OwnerStatus;
+use jy_types::status::SERVICES_PATH;
+use jy_types::status::STATUS_PATH;
+use jy_types::status::ServiceStatus;
+use jy_types::workspace::WorkspaceRecord;
+use rustix::process::Signal;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::sleep;
+
+use crate::journal_check::ServerRun;
+use crate::node::FleetNode;
+use crate::node::NodeAddrs;
+use crate::plan::FleetPlan;
+use crate::ports::PortPool;
+use crate::process::ChildProcess;
+use crate::relay::NodeIndex;
+use crate::relay::RelayNet;
+
+/// Time between looks at a state that is waited for, in milliseconds.
+const LOOK_MS: u64 = 20;
+
+/// Longest wait for an answer to a question about state, in milliseconds.
+const ASK_TIMEOUT_MS: u64 = 1_000;
+
+/// Largest answer that is read, in bytes.
+const ANSWER_LIMIT: usize = 256 * 1024 * 1024;
+
+/// Largest number of writes and reads a second of the store in trials that do not limit it.
+const OPEN_RATE: u32 = 1_000_000;
+
+/// Node index under which the store appears in cuts.
+pub const STORE_NODE: NodeIndex = usize::MAX;
+
+/// How a fleet is started.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FleetOptions {
+    /// Whether agents reach each other and the store through relays, so that links can be cut.
+    pub relayed: bool,
+    /// Whether the store has no limit of its rate.
+    pub unlimited: bool,
+    /// Whether the folder with settings and logs stays.
+    pub keep: bool,
+}
+
+/// A running fleet. Dropping it stops every process.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The nodes.
+    pub nodes: Vec<FleetNode>,
+    /// Links between the nodes, if they are relayed.
+    pub net: RelayNet,
+    /// Address of the store.
+    pub store_addr: SocketAddr,
+    store: Option<ChildProcess>,
+    folder: PathBuf,
+    options: FleetOptions,
+}
+
+impl Fleet {
+    /// Starts the store, every agent and every backend server, and accepts the workspaces.
+    ///
+    /// # Errors
+    ///
+    /// If a program can't be started or the store refuses a workspace.
+    pub async fn start(plan: FleetPlan, options: FleetOptions) -> Result<Self> {
+        let folder = new_folder()?;
+        let mut ports = PortPool::new();
+        let store_addr = ports.take()?;
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            net: RelayNet::new(),
+            store_addr,
+            store: None,
+            folder,
+            options,
+        };
+        fleet.start_store()?;
+        for node in plan.nodes {
+            let addrs = NodeAddrs::new(&mut ports, store_addr, options.relayed)?;
+            fleet.nodes.push(FleetNode::new(node, addrs, &fleet.folder));
+        }
+        for workspace in &plan.workspaces {
+            fleet.accept(workspace).await?;
+        }
+        for index in 0..fleet.nodes.len() {
+            fleet.start_relays(index).await?;
+            fleet.start_node(index)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Folder with settings and logs.
+    #[must_use]
+    pub const fn folder(&self) -> &PathBuf {
+        &self.folder
+    }
+
+    /// Starts the store.
+    ///
+    /// # Errors
+    ///
+    /// What could not be done.
+    fn start_store(&mut self) -> Result<()> {
+        let mut arguments = vec![format!("--listen={}", self.store_addr)];
+        if self.options.unlimited {
+            arguments.push(format!("--writes={OPEN_RATE}"));
+            arguments.push(format!("--reads={OPEN_RATE}"));
+        }
+        let log = self.folder.join("store.log");
+        self.store = Some(ChildProcess::start("jystore", &arguments, &log)?);
+        Ok(())
+    }
+
+    /// Starts the relays of one node.
+    ///
+    /// # Errors
+    ///
+    /// What could not be done.
+    async fn start_relays(&self, index: NodeIndex) -> Result<()> {
+        let addrs = self.nodes[index].addrs;
+        if !self.options.relayed {
+            return Ok(());
+        }
+        let net = &self.net;
+        net.relay(addrs.public_rpc, addrs.rpc, index).await?;
+        net.relay(addrs.public_forward, addrs.forward, index)
+            .await?;
+        net.relay(addrs.store, self.store_addr, STORE_NODE).await
+    }
+
+    /// Starts a node's agent and backend server.
+    ///
+    /// # Errors
+    ///
+    /// If a program can't be started.
+    pub fn start_node(&mut self, index: NodeIndex) -> Result<()> {
+        self.start_agent(index)?;
+        self.nodes[index].start_server()
+    }
+
+    /// Starts a node's agent.
+    ///
+    /// # Errors
+    ///
+    /// If the program can't be started.
+    pub fn start_agent(&mut self, index: NodeIndex) -> Result<()> {
+        let pid = self.nodes[index].start_agent()?;
+        self.net.set_pid(index, pid);
+        Ok(())
+    }
+
+    /// Accepts a workspace, whatever stands.
+    ///
+    /// # Errors
+    ///
+    /// If the store refuses it.
+    pub async fn accept(&self, workspace: &WorkspaceRecord) -> Result<u64> {
+        let store = StoreClient::new(&self.store_addr.to_string());
+        let key = workspace_key(&workspace.name);
+        let limit = clock::now().plus(5_000);
+        let answer = loop {
+            match store.list(&key).await {
+                Ok(answer) => break answer,
+                Err(error) if clock::now() > limit => return Err(error.into()),
+                Err(_) => sleep(Duration::from_millis(LOOK_MS)).await,
+            }
+        };
+        let call = SwapCall {
+            expect: answer.records.first().map_or(0, |record| record.revision),
+            key,
+            value: Some(serde_json::to_string(workspace)?.into()),
+            lease: None,
+        };
+        match store.swap(&call).await? {
+            SwapEnd::Applied { revision } => Ok(revision),
+            SwapEnd::Conflict { .. } => bail!("another write of {} came first", call.key),
+        }
+    }
+
+    /// Waits until every running agent has a lease and every unit an owner that stays; returns the
+    /// time that took, in milliseconds.
+    ///
+    /// # Errors
+    ///
+    /// If it takes longer than `limit_ms`.
+    pub async fn wait_ready(&self, limit_ms: u64) -> Result<u64> {
+        let start = clock::now();
+        loop {
+            let Err(missing) = self.check_ready().await else {
+                return Ok(clock::now().since(start));
+            };
+            if clock::now().since(start) > limit_ms {
+                bail!(
+                    "the fleet is not ready after {limit_ms} ms: {missing}; logs are in {}",
+                    self.folder.display()
+                );
+            }
+            sleep(Duration::from_millis(LOOK_MS)).await;
+        }
+    }
+
+    /// Checks that the fleet is ready.
+    ///
+    /// # Errors
+    ///
+    /// What is missing.
+    async fn check_ready(&self) -> Result<()> {
+        for index in self.running() {
+            let name = self.nodes[index].name();
+            let status = self.status(index).await.with_context(|| name.clone())?;
+            if status.state != Some(MemberState::Live) || status.lease_left_ms == 0 {
+                bail!("{name} is {:?} without a lease", status.state);
+            }
+            let services = self.services(index).await?;
+            for service in &services {
+                if service.owners.is_empty() || service.unassigned + service.moving > 0 {
+                    bail!("{name} sees units of {} without an owner", service.service);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Indices of the nodes whose agent runs.
+    #[must_use]
+    pub fn running(&self) -> Vec<NodeIndex> {
+        (0..self.nodes.len())
+            .filter(|index| self.nodes[*index].has_agent())
+            .collect()
+    }
+
+    /// Returns the index of a named node.
+    ///
+    /// # Errors
+    ///
+    /// If there is none.
+    pub fn index_of(&self, name: &str) -> Result<NodeIndex> {
+        self.nodes
+            .iter()
+            .position(|node| &*node.plan.name == name)
+            .with_context(|| format!("no agent is named {name}"))
+    }
+
+    /// Asks an agent for its state.
+    ///
+    /// # Errors
+    ///
+    /// If it does not answer.
+    pub async fn status(&self, index: NodeIndex) -> Result<AgentStatus> {
+        self.ask(self.nodes[index].addrs.operator, STATUS_PATH)
+            .await
+    }
+
+    /// Asks an agent for the units of each keyed service.
+    ///
+    /// # Errors
+    ///
+    /// If it does not answer.
+    pub async fn services(&self, index: NodeIndex) -> Result<Vec<ServiceStatus>> {
+        self.ask(self.nodes[index].addrs.operator, SERVICES_PATH)
+            .await
+    }
+
+    /// Asks an agent for the owner of a key.
+    ///
+    /// # Errors
+    ///
+    /// If it does not answer.
+    pub async fn owner(
+        &self,
+        index: NodeIndex,
+        workspace: &str,
+        service: &str,
+        key: &str,
+    ) -> Result<OwnerStatus> {
+        let path = format!("{OWNER_PATH}?workspace={workspace}&service={service}&key={key}");
+        self.ask(self.nodes[index].addrs.operator, &path).await
+    }
+
+    /// Returns the node of the controller as a running agent sees it.
+    ///
+    /// # Errors
+    ///
+    /// If no agent knows of a controller.
+    pub async fn controller(&self) -> Result<NodeIndex> {
+        for index in self.running() {
+            if let Ok(status) = self.status(index).await
+                && let Some(id) = status.controller
+            {
+                return self.index_of(&id.name);
+            }
+        }
+        bail!("no agent knows of a controller")
+    }
+
+    /// Reads the journal of a node's backend server.
+    ///
+    /// # Errors
+    ///
+    /// If it does not answer.
+    pub async fn journal(&self, index: NodeIndex) -> Result<Vec<RunEntry>> {
+        self.ask(self.nodes[index].addrs.server, JOURNAL_PATH).await
+    }
+
+    /// Reads the journals of all backend servers, each run with its workspace and service.
+    ///
+    /// # Errors
+    ///
+    /// If one does not answer.
+    pub async fn journals(&self) -> Result<Vec<(Name, ServerRun)>> {
+        let mut runs = Vec::new();
+        for (index, node) in self.nodes.iter().enumerate() {
+            let Some(backend) = &node.plan.backend else {
+                continue;
+            };
+            let scope: Name = format!("{}/{}", backend.workspace, backend.service).into();
+            for run in self.journal(index).await? {
+                let server = node.name();
+                runs.push((Name::clone(&scope), ServerRun { server, run }));
+            }
+        }
+        Ok(runs)
+    }
+
+    /// Returns where callers reach the agents that run.
+    #[must_use]
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        let running = self.running();
+        let addrs = running.iter().map(|index| self.nodes[*index].addrs.caller);
+        addrs.collect()
+    }
+
+    /// Reads the counts of a node's backend server.
+    ///
+    /// # Errors
+    ///
+    /// If it does not answer.
+    pub async fn server_counts(&self, index: NodeIndex) -> Result<BackendCounts> {
+        let path = backend_fault::COUNTS_PATH;
+        self.ask(self.nodes[index].addrs.server, path).await
+    }
+
+    /// Reads the store's counts.
+    ///
+    /// # Errors
+    ///
+    /// If it does not answer.
+    pub async fn store_counts(&self) -> Result<CallCounts> {
+        self.ask(self.store_addr, store_fault::COUNTS_PATH).await
+    }
+
+    /// Changes the store's faults.
+    ///
+    /// # Errors
+    ///
+    /// If it does not answer.
+    pub async fn fault_store(&self, fault: &StoreFault) -> Result<()> {
+        tell(self.store_addr, store_fault::FAULT_PATH, fault).await
+    }
+
+    /// Changes the faults of a node's backend server.
+    ///
+    /// # Errors
+    ///
+    /// If it does not answer.
+    pub async fn fault_server(&self, index: NodeIndex, fault: &BackendFault) -> Result<()> {
+        let address = self.nodes[index].addrs.server;
+        tell(address, backend_fault::FAULT_PATH, fault).await
+    }
+
+    /// Freezes a node's agent.
+    ///
+    /// # Errors
+    ///
+    /// If it does not run.
+    pub fn freeze(&mut self, index: NodeIndex) -> Result<()> {
+        self.nodes[index].agent()?.signal(Signal::STOP)
+    }
+
+    /// Lets a frozen agent go on.
+    ///
+    /// # Errors
+    ///
+    /// If it does not run.
+    pub fn thaw(&mut self, index: NodeIndex) -> Result<()> {
+        self.nodes[index].agent()?.signal(Signal::CONT)
+    }
+
+    /// Cuts the links between two nodes in both directions.
+    pub fn cut_both(&self, one: NodeIndex, other: NodeIndex) {
+        self.net.cut(one, other);
+        self.net.cut(other, one);
+    }
+
+    /// Asks a question by GET.
+    ///
+    /// # Errors
+    ///
+    /// What could not be done.
+    async fn ask<T: DeserializeOwned>(&self, address: SocketAddr, path: &str) -> Result<T> {
+        let mut answer = client()
+            .get(format!("http://{address}{path}"))
+            .timeout(Duration::from_millis(ASK_TIMEOUT_MS))
+            .send()
+            .await
+            .map_err(|error| anyhow::anyhow!("{address} did not answer: {error}"))?;
+        let body = answer.body().limit(ANSWER_LIMIT).await?;
+        serde_json::from_slice(&body).with_context(|| format!("{address}{path}: {body:?}"))
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.nodes.clear();
+        self.store = None;
+        if self.options.keep {
+            eprintln!("logs are in {}", self.folder.display());
+        } else {
+            drop(std::fs::remove_dir_all(&self.folder));
+        }
+    }
+}
+
+/// Sends a command by POST.
+///
+/// # Errors
+///
+/// What could not be done.
+async fn tell(address: SocketAddr, path: &str, command: &impl Serialize) -> Result<()> {
+    let answer = client()
+        .post(format!("http://{address}{path}"))
+        .timeout(Duration::from_millis(ASK_TIMEOUT_MS))
+        .send_json(command)
+        .await
+        .map_err(|error| anyhow::anyhow!("{address} did not answer: {error}"))?;
+    if !answer.status().is_success() {
+        bail!("{address}{path} answered {}", answer.status());
+    }
+    Ok(())
+}
+
+/// Makes a client that keeps no connection, so that a frozen process can't hold one back.
+fn client() -> Client {
+    Client::builder().disable_timeout().finish()
+}
+
+/// Makes a folder of its own for settings and logs.
+///
+/// # Errors
+///
+/// What could not be done.
+fn new_folder() -> Result<PathBuf> {
+    let name = format!("jybench-{}-{}", std::process::id(), clock::now().0);
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir(&folder)
+        .with_context(|| format!("could not make the folder {}", folder.display()))?;
+    Ok(folder)
+}
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Adds a figure.
+    pub fn add(&mut self, row: FigureRow) {
+        self.rows.push(row);
+    }
+
     /// Prints the table, writes it as JSON and returns whether every bound holds.
     ///
     /// # Errors
