agent: keep the peer listener open and let a joining agent be controller

Cause: no agent got a lease: the handle of the JSON-RPC listener was dropped, which closed the listener; and no controller was ever elected, since only an agent with a lease was eligible and only a controller gives out monitors. Ruled out: a fault of the holder or the monitor: renewals failed with connection refused. Change: the handle is kept among the services; an agent that reads the store and is a member may be the controller, as every write is a compare-and-swap under its term.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_http::Request;
 use actix_http::header::HeaderName;
@@ -17,6 +18,7 @@
 use jy_lease::timing::LeaseTiming;
 use jy_route::api::RouteEvent;
 use jy_store::client::StoreClient;
+use jy_types::member::AgentId;
 use jy_types::request::IN_FLIGHT_HEADER;
 use jy_types::request::Refusal;
 use jy_types::request::RefusalKind;
@@ -24,6 +26,7 @@
 use serde_json::Value;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::time::sleep;
 
 use crate::backend;
 use crate::backend::BackendService;
@@ -66,6 +69,9 @@
 use crate::tracing;
 use crate::tracing::TraceTap;
 
+/// Wait between two looks at whether this agent may be the controller, in milliseconds.
+const ELIGIBLE_LOOK_MS: u64 = 200;
+
 /// Connections to the backend server.
 const BACKEND_CONNECTIONS: usize = 100;
 
@@ -246,7 +252,9 @@
     let forward = http::bind("listen.peer_forward", listen.peer_forward).await?;
     let announce = http::bind("listen.backend", listen.backend).await?;
     let operators = http::bind("listen.operator", listen.operator).await?;
-    rpc::start(listen.peer_rpc, peer_handler(registry)?).await?;
+    // The listener stops when its handle is dropped.
+    let handle = rpc::start(listen.peer_rpc, peer_handler(registry)?).await?;
+    registry.provide(rpc::SERVICE, Rc::new(handle))?;
 
     let limits = || settings.limits.clone();
     let gate = registry.find::<GateService>(gate::SERVICE)?;
@@ -312,6 +320,8 @@
         settings.watch_store,
     ));
     start_tickers(registry)?;
+    let gate = registry.find::<GateService>(gate::SERVICE)?;
+    actix_rt::spawn(gate.tell_clock());
     let own = registry.find::<MemberService>(member::SERVICE)?;
     actix_rt::spawn(async move { own.run().await });
     let spreader = registry.find::<SpreadService>(spread::SERVICE)?;
@@ -329,19 +339,32 @@
         leave: leave.clone(),
     };
     actix_rt::spawn(async move { reports.run().await });
-    let leases = registry.find::<LeaseService>(lease::SERVICE)?;
-    let watcher = Rc::clone(&feed);
-    let signal = leave.clone();
-    leases.listen(Rc::new(move |until: Millis| {
-        let live = until > clock::now() && !signal.is_raised();
-        candidate.set_eligible(live && watcher.is_watching());
-    }));
+    actix_rt::spawn(tell_eligible(candidate, feed, id, leave.clone()));
     for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
         actix_rt::spawn(raise_on(kind, leave.clone()));
     }
     Ok(())
 }
 
+/// Tells the election whether this agent may be the controller: it reads the store, is a member and
+/// does not leave. It needs no lease, or a fleet that starts would never get a controller; every
+/// write is a compare-and-swap under the term. Never returns.
+async fn tell_eligible(
+    candidate: Rc<ElectionService>,
+    feed: Rc<FeedService>,
+    id: AgentId,
+    leave: LeaveSignal,
+) {
+    loop {
+        let member = feed
+            .view()
+            .member(&id)
+            .is_some_and(|own| !own.state.is_over());
+        candidate.set_eligible(member && feed.is_watching() && !leave.is_raised());
+        sleep(Duration::from_millis(ELIGIBLE_LOOK_MS)).await;
+    }
+}
+
 /// Starts the tickers of the decisions.
 ///
 /// # Errors
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
 use awc::Client;
@@ -41,6 +42,7 @@
 use jy_types::time::Millis;
 use jy_types::workspace::ServiceSpec;
 use tokio::sync::oneshot;
+use tokio::time::sleep;
 
 use crate::exchange::ExchangeReply;
 use crate::exchange::RequestExchange;
@@ -59,6 +61,9 @@
 /// Largest answer kept for repeats, in bytes.
 const STORED_ANSWER_LIMIT: usize = 64 * 1024;
 
+/// Time between two looks at the wall clock, in milliseconds.
+const CLOCK_EVERY_MS: u64 = 5_000;
+
 /// Called with units that are idle and what is remembered of them.
 pub type ReleaseFn = Rc<dyn Fn(Vec<Unit>, Vec<WindowEntry>)>;
 
@@ -333,6 +338,15 @@
         }
     }
 
+    /// Tells the decision the wall clock, with which it dates callers' ids. Never returns.
+    pub async fn tell_clock(self: Rc<Self>) {
+        loop {
+            let wall = clock::wall_now();
+            self.step(GateEvent::Clock { wall });
+            sleep(Duration::from_millis(CLOCK_EVERY_MS)).await;
+        }
+    }
+
     /// Takes a new view in.
     pub fn on_view(self: &Rc<Self>, view: &Arc<FleetView>) {
         *self.view.borrow_mut() = Arc::clone(view);
--- a/crates/agent/src/rpc.rs
+++ b/crates/agent/src/rpc.rs
@@ -30,6 +30,9 @@
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::oneshot;
 
+/// Name of the listener's handle among the services.
+pub const SERVICE: &str = "rpc";
+
 /// Largest message between agents, in bytes.
 const MESSAGE_LIMIT: u32 = 64 * 1024 * 1024;
 
