--- /dev/null
+++ b/crates/ctl/src/accept.rs
@@ -0,0 +1,162 @@
+//! Accepts a configuration by compare-and-swap on the revision that the operator saw.
+
+use std::rc::Rc;
+
+use futures_util::future::LocalBoxFuture;
+use jy_store::client::StoreClient;
+use jy_store::client::StoreError;
+use jy_store::client::SwapEnd;
+use jy_store::protocol::SwapCall;
+use jy_types::name::Name;
+use jy_types::record::workspace_key;
+use jy_types::workspace::WorkspaceRecord;
+
+use crate::error::CtlError;
+use crate::error::Result;
+
+/// Attempts at a write whose answer is lost before it is given up.
+const WRITE_ATTEMPTS: u32 = 5;
+
+/// Time between them, in milliseconds.
+const RETRY_PAUSE_MS: u64 = 300;
+
+/// Waits for a number of milliseconds.
+pub type PauseFn = Rc<dyn Fn(u64) -> LocalBoxFuture<'static, ()>>;
+
+/// A workspace as the store has it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct AcceptedState {
+    /// The record, or none.
+    pub record: Option<WorkspaceRecord>,
+    /// The store's revision of the record; zero without one.
+    pub revision: u64,
+}
+
+/// How an accept ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AcceptEnd {
+    /// It is accepted at this revision.
+    Accepted {
+        /// The store's revision of the write.
+        revision: u64,
+    },
+    /// Another change came first; nothing was written.
+    Lost {
+        /// What stands now.
+        current: AcceptedState,
+    },
+}
+
+/// Reads what is accepted for a workspace.
+///
+/// # Errors
+///
+/// [`CtlError::Store`], or [`CtlError::Refused`] if the record is not understood.
+pub async fn read(store: &StoreClient, name: &str) -> Result<AcceptedState> {
+    let key = workspace_key(name);
+    let answer = store.list(&key).await?;
+    let found = answer.records.into_iter().find(|record| record.key == key);
+    let Some(record) = found else {
+        return Ok(AcceptedState::default());
+    };
+    state(name, record.value, record.revision)
+}
+
+/// Reads every accepted workspace.
+///
+/// # Errors
+///
+/// As [`read`].
+pub async fn read_all(store: &StoreClient) -> Result<Vec<AcceptedState>> {
+    let prefix = workspace_key("");
+    let answer = store.list(&prefix).await?;
+    answer
+        .records
+        .into_iter()
+        .filter(|record| record.value.is_some())
+        .map(|record| {
+            let name = record.key.trim_start_matches(&*prefix);
+            state(name, record.value.clone(), record.revision)
+        })
+        .collect()
+}
+
+/// Parses a stored workspace.
+///
+/// # Errors
+///
+/// [`CtlError::Refused`] if it is not understood.
+fn state(name: &str, value: Option<Name>, revision: u64) -> Result<AcceptedState> {
+    let parse = |text: Name| {
+        serde_json::from_str(&text).map_err(|cause| {
+            let message = format!("workspace {name:?} in the store is not understood: {cause}");
+            CtlError::refused(message, "it was written by another version; use its jyctl")
+        })
+    };
+    Ok(AcceptedState {
+        record: value.map(parse).transpose()?,
+        revision,
+    })
+}
+
+/// Writes a record over the revision `base`. The record's token must be fresh.
+///
+/// A lost answer is resolved by reading back; the same call is sent again only while the store
+/// still has the revision `base`, so it takes effect at most once.
+///
+/// # Errors
+///
+/// [`CtlError::Store`]; after its [`StoreError::NoAnswer`] the write may still take effect.
+pub async fn write(
+    store: &StoreClient,
+    pause: &PauseFn,
+    base: u64,
+    record: &WorkspaceRecord,
+) -> Result<AcceptEnd> {
+    let value = serde_json::to_string(record).map_err(|cause| {
+        CtlError::refused(
+            cause.to_string(),
+            "report this with the file that it came from",
+        )
+    })?;
+    let call = SwapCall {
+        key: workspace_key(&record.name),
+        expect: base,
+        value: Some(value.into()),
+        lease: None,
+    };
+    let mut attempt = 1;
+    loop {
+        match store.swap(&call).await {
+            Ok(end) => return finish(record, end),
+            Err(StoreError::NoAnswer { .. } | StoreError::Malformed { .. })
+                if attempt < WRITE_ATTEMPTS =>
+            {
+                attempt += 1;
+                pause(RETRY_PAUSE_MS).await;
+            }
+            Err(error) => return Err(error.into()),
+        }
+    }
+}
+
+/// Tells an own earlier attempt, recognised by its token, from another operator's change.
+///
+/// # Errors
+///
+/// [`CtlError::Refused`] if the other record is not understood.
+fn finish(record: &WorkspaceRecord, end: SwapEnd) -> Result<AcceptEnd> {
+    let (current, revision) = match end {
+        SwapEnd::Applied { revision } => return Ok(AcceptEnd::Accepted { revision }),
+        SwapEnd::Conflict { current, revision } => (current, revision),
+    };
+    let current = state(&record.name, current, revision)?;
+    let is_own = current
+        .record
+        .as_ref()
+        .is_some_and(|other| other.token == record.token);
+    if is_own {
+        return Ok(AcceptEnd::Accepted { revision });
+    }
+    Ok(AcceptEnd::Lost { current })
+}
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,5 +1,49 @@
-//! Not written yet.
+//! `jyctl`: prints what a command has to say and exits with its code.
 
-fn main() {
-    std::process::exit(2);
+use std::io::Write;
+use std::process::ExitCode;
+
+use jy_ctl::error::CtlError;
+use serde_json::json;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let json = arguments.iter().any(|argument| argument == "--json");
+    let outcome = actix_rt::System::new().block_on(jy_ctl::run(&arguments));
+    match outcome {
+        Ok(outcome) if json && !outcome.json.is_null() => {
+            print_out(&format!("{}\n", outcome.json));
+            ExitCode::from(outcome.exit)
+        }
+        Ok(outcome) => {
+            print_out(&outcome.text);
+            ExitCode::from(outcome.exit)
+        }
+        Err(error) => {
+            report(&error, json);
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+/// Prints an error for a person on standard error, or for a program on standard output.
+fn report(error: &CtlError, json: bool) {
+    if !json {
+        eprintln!("jyctl: {error}");
+        return;
+    }
+    let findings = match error {
+        CtlError::Findings(list) => list.0.as_slice(),
+        _ => &[],
+    };
+    let exit = error.exit_code();
+    let json = json!({"error": error.to_string(), "exit": exit, "findings": findings});
+    print_out(&format!("{json}\n"));
+}
+
+/// Prints to standard output. A reader that has gone, such as `head`, is no error.
+fn print_out(text: &str) {
+    let mut output = std::io::stdout().lock();
+    let written = output.write_all(text.as_bytes());
+    drop(written.and_then(|()| output.flush()));
 }
