types, ctl: who accepted a configuration, when and over which revision

Cause: the loser of a race saw the other's settings but not whose they are. Ruled out: a second key with the history (not written in one step with the record); the author in the token (no room, not readable). Change: `WorkspaceRecord.accepted` (optional, so older records still read) with name, time, replaced revision and note; diff and the refusal of an old base show it. chrono (in the lock file through flexi_logger already) writes the time. Measured: by hand against the store's stand-in: accept by ada at revision 1, by bo at 2, ada's second accept with base 1 refused with exit 1, "accepted by bo at ... over revision 1"; before, no author in the answer. Conclusion: kept; the record grows by about 80 bytes.

--- a/crates/config/src/render.rs
+++ b/crates/config/src/render.rs
@@ -67,6 +67,7 @@
         zones_out: plain(&file.zones_out),
         services,
         token: 0,
+        accepted: None,
     })
 }
 
--- a/crates/ctl/src/accept.rs
+++ b/crates/ctl/src/accept.rs
@@ -9,8 +9,10 @@
 use jy_store::protocol::SwapCall;
 use jy_types::name::Name;
 use jy_types::record::workspace_key;
+use jy_types::workspace::AcceptNote;
 use jy_types::workspace::WorkspaceRecord;
 
+use crate::clock;
 use crate::error::CtlError;
 use crate::error::Result;
 
@@ -23,6 +25,15 @@
 /// Waits for a number of milliseconds.
 pub type PauseFn = Rc<dyn Fn(u64) -> LocalBoxFuture<'static, ()>>;
 
+/// Who changes something, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChangeAuthor {
+    /// Name.
+    pub name: Name,
+    /// Why, in the author's words.
+    pub note: Option<Name>,
+}
+
 /// A workspace as the store has it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct AcceptedState {
@@ -99,6 +110,39 @@
     })
 }
 
+/// Returns a record ready to be written over `base`: with a fresh token and its author.
+#[must_use]
+pub fn sign(mut record: WorkspaceRecord, base: u64, author: &ChangeAuthor) -> WorkspaceRecord {
+    record.token = clock::fresh_token();
+    record.accepted = Some(AcceptNote {
+        by: author.name.clone(),
+        at: clock::wall_now(),
+        base,
+        note: author.note.clone(),
+    });
+    record
+}
+
+/// Says who accepted what stands, when, over which revision and why.
+#[must_use]
+pub fn author_text(state: &AcceptedState) -> String {
+    let accepted = state
+        .record
+        .as_ref()
+        .and_then(|record| record.accepted.as_ref());
+    let Some(note) = accepted else {
+        return "its author is not recorded".to_owned();
+    };
+    let why = note.note.as_ref().map(|why| format!(": {why:?}"));
+    format!(
+        "by {} at {} over revision {}{}",
+        note.by,
+        clock::wall_text(note.at),
+        note.base,
+        why.unwrap_or_default()
+    )
+}
+
 /// Writes a record over the revision `base`. The record's token must be fresh.
 ///
 /// A lost answer is resolved by reading back; the same call is sent again only while the store
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -5,6 +5,7 @@
 use getopts::Matches;
 use getopts::Options;
 
+use crate::accept::ChangeAuthor;
 use crate::error::CtlError;
 use crate::error::Result;
 
@@ -43,6 +44,16 @@
         .ok_or_else(|| CtlError::usage(format!("--{name} is missing"), hint))
 }
 
+/// Returns who makes a change.
+#[must_use]
+pub fn author(matches: &Matches) -> ChangeAuthor {
+    let name = matches.opt_str("by").or_else(|| std::env::var("USER").ok());
+    ChangeAuthor {
+        name: name.unwrap_or_else(|| "unnamed".to_owned()).into(),
+        note: matches.opt_str("note").map(Into::into),
+    }
+}
+
 /// Returns the address of the store.
 ///
 /// # Errors
--- a/crates/ctl/src/clock.rs
+++ b/crates/ctl/src/clock.rs
@@ -2,7 +2,10 @@
 
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
+use jy_types::time::WallMillis;
 use uuid::Uuid;
 
 use crate::accept::PauseFn;
@@ -18,3 +21,22 @@
 pub fn pause() -> PauseFn {
     Rc::new(|millis| Box::pin(actix_rt::time::sleep(Duration::from_millis(millis))))
 }
+
+/// Reads the wall clock.
+#[must_use]
+pub fn wall_now() -> WallMillis {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    WallMillis(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Writes a time in UTC, such as `2026-12-04 09:30:00Z`.
+#[must_use]
+pub fn wall_text(time: WallMillis) -> String {
+    let seconds = i64::try_from(time.0 / 1_000).unwrap_or(i64::MAX);
+    chrono::DateTime::from_timestamp(seconds, 0).map_or_else(
+        || format!("{} ms", time.0),
+        |time| time.format("%F %TZ").to_string(),
+    )
+}
--- a/crates/ctl/src/configure.rs
+++ b/crates/ctl/src/configure.rs
@@ -69,6 +69,7 @@
     args::add_store(options);
     let help = "revision that `jyctl diff` showed; may be left out for a new workspace";
     options.optopt("", "base", help, "REVISION");
+    args::add_author(options);
 }
 
 /// Runs `jyctl check`.
@@ -125,6 +126,10 @@
     let current = accept::read(&client(address), &record.name).await?;
     let changes = diff::changes(current.record.as_ref(), Some(&record));
     let revision = current.revision;
+    let by = match revision {
+        0 => " (not in force yet)".to_owned(),
+        _ => format!(", accepted {}", accept::author_text(&current)),
+    };
     let text = if changes.is_empty() {
         format!(
             "{}: in force at revision {revision}, nothing differs\n",
@@ -132,7 +137,7 @@
         )
     } else {
         format!(
-            "{}: {} setting(s) differ from revision {revision}\n{}\
+            "{}: {} setting(s) differ from revision {revision}{by}\n{}\
              to put it in force: jyctl accept {path} --store {address} --base {revision}\n",
             record.name,
             changes.len(),
@@ -152,8 +157,7 @@
     let path = args::only(&matches, "workspace file")?;
     let store = client(args::store(&matches)?);
     let base = args::whole(&matches, "base")?;
-    let mut record = files::render(&path)?;
-    record.token = clock::fresh_token();
+    let record = files::render(&path)?;
     let seen = accept::read(&store, &record.name).await?;
     if diff::changes(seen.record.as_ref(), Some(&record)).is_empty() {
         return Ok(unchanged(&record, &seen));
@@ -161,6 +165,7 @@
     if let Some(outcome) = refuse_base(&path, base, &record, &seen)? {
         return Ok(outcome);
     }
+    let record = accept::sign(record, seen.revision, &args::author(&matches));
     match accept::write(&store, &clock::pause(), seen.revision, &record).await? {
         AcceptEnd::Accepted { revision } => Ok(accepted(&record, &seen, revision)),
         AcceptEnd::Lost { current } => Ok(lost(&path, &record, &seen, &current)),
@@ -264,9 +269,10 @@
 ) -> CommandOutcome {
     let name = &record.name;
     let revision = current.revision;
+    let author = accept::author_text(current);
     let text = format!(
         "{name}: not accepted, nothing written: you based it on revision {base}, \
-         revision {revision} stands now\n{what}\
+         revision {revision} stands now, accepted {author}\n{what}\
          to go on: take the other change into your file, look at `jyctl diff {path}`, \
          then accept with --base {revision}\n"
     );
--- a/crates/types/src/workspace.rs
+++ b/crates/types/src/workspace.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::name::Name;
+use crate::time::WallMillis;
 
 /// Which requests wait when not all can be served. Earlier ones go first.
 #[derive(
@@ -100,6 +101,24 @@
     /// Token of the write, to recognise it when its answer was lost.
     #[serde(default)]
     pub token: u64,
+    /// Who accepted it, when and over which revision.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accepted: Option<AcceptNote>,
+}
+
+/// What an operator who finds a newer revision wants to know about it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AcceptNote {
+    /// Who accepted it.
+    pub by: Name,
+    /// When, by the operator's clock.
+    pub at: WallMillis,
+    /// The revision that it replaced; zero for a new workspace.
+    pub base: u64,
+    /// Why, in the operator's words.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub note: Option<Name>,
 }
 
 impl WorkspaceRecord {
