ctl: watch, status, owner, zone and drain

Cause: after an accept an operator needs to see it spread, who owns a key, and to take a zone or an instance out.

--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -6,8 +6,13 @@
 pub mod command;
 pub mod configure;
 pub mod diff;
+pub mod drain;
 pub mod error;
 pub mod files;
+pub mod fleet;
+pub mod status;
+pub mod watch;
+pub mod zone;
 
 use command::CommandOutcome;
 use command::CommandSpec;
@@ -20,6 +25,11 @@
     configure::RENDER,
     configure::DIFF,
     configure::ACCEPT,
+    watch::WATCH,
+    status::STATUS,
+    status::OWNER,
+    zone::ZONE,
+    drain::DRAIN,
 ];
 
 /// Runs one command line and returns what to print.
--- /dev/null
+++ b/crates/ctl/src/status.rs
@@ -0,0 +1,258 @@
+//! `jyctl status` and `jyctl owner`: what the fleet says about itself.
+
+use std::collections::BTreeMap;
+
+use getopts::Matches;
+use jy_types::key::KeyHash;
+use jy_types::member::MemberState;
+use jy_types::status::OWNER_PATH;
+use jy_types::status::OwnerStatus;
+use jy_types::status::SERVICES_PATH;
+use jy_types::status::ServiceStatus;
+use serde_json::json;
+
+use crate::args;
+use crate::command::CommandOutcome;
+use crate::command::CommandSpec;
+use crate::error::Result;
+use crate::fleet::AgentSight;
+use crate::fleet::FleetClient;
+use crate::fleet::state_text;
+
+/// `jyctl status`.
+pub const STATUS: CommandSpec = CommandSpec {
+    name: "status",
+    arguments: "--agent IP:PORT",
+    about: "Shows agents, zones, owners, imbalance, controller and store.",
+    example: "jyctl status --agent 127.0.0.1:7104",
+    options: args::add_agent,
+    run: |matches| Box::pin(status(matches)),
+};
+
+/// `jyctl owner`.
+pub const OWNER: CommandSpec = CommandSpec {
+    name: "owner",
+    arguments: "KEY --workspace NAME --service NAME --agent IP:PORT",
+    about: "Shows which agent owns a key.",
+    example: "jyctl owner KGN-000017 --workspace seal-registry --service verifier \
+              --agent 127.0.0.1:7104",
+    options: |options| {
+        args::add_agent(options);
+        args::add_service(options);
+    },
+    run: |matches| Box::pin(owner(matches)),
+};
+
+/// Runs `jyctl status`.
+///
+/// # Errors
+///
+/// [`CtlError`](crate::error::CtlError) if no given agent answers.
+async fn status(matches: Matches) -> Result<CommandOutcome> {
+    let fleet = FleetClient::new(args::agents(&matches)?);
+    let sights = fleet.sights().await?;
+    let services: Vec<ServiceStatus> = fleet.get(SERVICES_PATH).await?;
+    let mut text = summary(&sights);
+    text.push_str(&service_table(&services));
+    text.push_str(&agent_table(&sights));
+    let agents: Vec<_> = sights
+        .iter()
+        .map(|sight| json!({"member": sight.member, "status": sight.status}))
+        .collect();
+    let services: Vec<_> = services
+        .iter()
+        .map(|service| json!({"service": service, "imbalance": imbalance(service)}))
+        .collect();
+    let json = json!({"agents": agents, "services": services});
+    Ok(CommandOutcome::new(text, json))
+}
+
+/// Peak over mean of the units of a service's owners; none without owners.
+#[must_use]
+pub fn imbalance(service: &ServiceStatus) -> Option<f64> {
+    let units = || service.owners.iter().map(|share| f64::from(share.units));
+    let total: f64 = units().sum();
+    let peak = units().fold(0.0, f64::max);
+    #[expect(clippy::cast_precision_loss, reason = "owners number in the hundreds")]
+    let owners = service.owners.len() as f64;
+    (total > 0.0).then(|| peak * owners / total)
+}
+
+/// Writes what counts for the whole fleet.
+#[must_use]
+pub fn summary(sights: &[AgentSight]) -> String {
+    let count = |state| {
+        sights
+            .iter()
+            .filter(|sight| sight.member.state == state)
+            .count()
+    };
+    let statuses: Vec<_> = sights
+        .iter()
+        .filter_map(|sight| sight.status.as_ref())
+        .collect();
+    let silent: Vec<_> = sights
+        .iter()
+        .filter(|sight| sight.status.is_none())
+        .map(|sight| &*sight.member.id.name)
+        .collect();
+    let revisions = || statuses.iter().map(|status| status.revision);
+    let calls: Vec<_> = statuses
+        .iter()
+        .filter_map(|status| status.store_reachable)
+        .collect();
+    let reached = calls.iter().filter(|reached| **reached).count();
+    let mut lines = vec![
+        format!(
+            "agents      {} live, {} joining, {} leaving; {} of {} answer",
+            count(MemberState::Live),
+            count(MemberState::Joining),
+            count(MemberState::Leaving),
+            statuses.len(),
+            sights.len()
+        ),
+        format!("zones       {}", zones_text(sights)),
+        format!("controller  {}", controller_text(sights)),
+        format!(
+            "store       reached by {reached} of {} agents that call it",
+            calls.len()
+        ),
+        format!(
+            "revision    {} to {}",
+            revisions().min().unwrap_or_default(),
+            revisions().max().unwrap_or_default()
+        ),
+    ];
+    if !silent.is_empty() {
+        lines.push(format!("no answer   {}", silent.join(", ")));
+    }
+    lines.join("\n") + "\n"
+}
+
+/// Counts the present agents of each zone.
+fn zones_text(sights: &[AgentSight]) -> String {
+    let mut zones: BTreeMap<&str, usize> = BTreeMap::new();
+    for sight in sights {
+        *zones.entry(&sight.member.place.zone).or_default() += 1;
+    }
+    let texts: Vec<_> = zones
+        .iter()
+        .map(|(zone, count)| format!("{zone} {count}"))
+        .collect();
+    texts.join(", ")
+}
+
+/// Names the controller of the highest term and how many agents know it.
+fn controller_text(sights: &[AgentSight]) -> String {
+    let statuses = || sights.iter().filter_map(|sight| sight.status.as_ref());
+    let newest = statuses()
+        .filter(|status| status.controller.is_some())
+        .max_by_key(|status| status.term);
+    let Some(newest) = newest else {
+        return "none known; the agents elect one within seconds if the store is up".to_owned();
+    };
+    let known = statuses()
+        .filter(|status| status.term == newest.term)
+        .count();
+    let name = newest
+        .controller
+        .as_ref()
+        .map(|id| &*id.name)
+        .unwrap_or_default();
+    format!(
+        "{name}, term {}, known to {known} of {} agents",
+        newest.term,
+        statuses().count()
+    )
+}
+
+/// Writes one line for each keyed service.
+fn service_table(services: &[ServiceStatus]) -> String {
+    let line = |service: &ServiceStatus| {
+        let ratio =
+            imbalance(service).map_or_else(|| "-".to_owned(), |value| format!("{value:.3}"));
+        format!(
+            "{:<32} {:>6} {:>9} {:>10} {:>6}\n",
+            format!("{}/{}", service.workspace, service.service),
+            service.owners.len(),
+            ratio,
+            service.unassigned,
+            service.moving
+        )
+    };
+    let head = format!(
+        "\n{:<32} {:>6} {:>9} {:>10} {:>6}\n",
+        "KEYED SERVICE", "OWNERS", "IMBALANCE", "UNASSIGNED", "MOVING"
+    );
+    head + &services.iter().map(line).collect::<String>()
+}
+
+/// Writes one line for each agent.
+fn agent_table(sights: &[AgentSight]) -> String {
+    let line = |sight: &AgentSight| {
+        let member = &sight.member;
+        let service = member.endpoint.as_ref().map_or_else(
+            || "-".to_owned(),
+            |endpoint| format!("{}/{}", endpoint.workspace, endpoint.service),
+        );
+        let own = sight.status.as_ref().map_or_else(
+            || format!("{:>9} {:>9} {:>7} {:>9}", "no answer", "-", "-", "-"),
+            |status| {
+                format!(
+                    "{:>9} {:>9} {:>7} {:>9}",
+                    status.lease_left_ms, status.in_flight, status.units, status.revision
+                )
+            },
+        );
+        format!(
+            "{:<20} {:<14} {:<28} {:<8} {own}\n",
+            member.id.name,
+            member.place.zone,
+            service,
+            state_text(member.state)
+        )
+    };
+    let head = format!(
+        "\n{:<20} {:<14} {:<28} {:<8} {:>9} {:>9} {:>7} {:>9}\n",
+        "AGENT", "ZONE", "SERVICE", "STATE", "LEASE ms", "IN FLIGHT", "UNITS", "REVISION"
+    );
+    head + &sights.iter().map(line).collect::<String>()
+}
+
+/// Runs `jyctl owner`.
+///
+/// # Errors
+///
+/// [`CtlError`](crate::error::CtlError).
+async fn owner(matches: Matches) -> Result<CommandOutcome> {
+    let key = args::only(&matches, "key")?;
+    let workspace = args::required(&matches, "workspace")?;
+    let service = args::required(&matches, "service")?;
+    let fleet = FleetClient::new(args::agents(&matches)?);
+    let query = [
+        ("workspace", &workspace),
+        ("service", &service),
+        ("key", &key),
+    ];
+    let query = serde_urlencoded::to_string(query).unwrap_or_default();
+    let owner: OwnerStatus = fleet.get(&format!("{OWNER_PATH}?{query}")).await?;
+    let name = owner
+        .owner
+        .as_ref()
+        .map_or("nobody at the moment", |id| &*id.name);
+    let next = owner
+        .next
+        .as_ref()
+        .map(|id| format!("\nmoving to    {}", id.name));
+    let unit = if owner.pinned { "pinned key" } else { "slice" };
+    let text = format!(
+        "key          {key} (hash {:016x})\nheld in      {unit} {}\nowner        {name}\n\
+         fence        {:x}{}\n",
+        KeyHash::new(&key).0,
+        owner.slice,
+        owner.fence,
+        next.unwrap_or_default()
+    );
+    let json = json!({"key": key, "workspace": workspace, "service": service, "owner": owner});
+    Ok(CommandOutcome::new(text, json))
+}
