ctl, testutils: races of operators and lost answers against a store in memory

Cause: nothing showed that of two accepts one wins, that an old base is refused and that a lost answer does not write twice. Ruled out: the stand-in process in unit tests (wall clock, ports); telling every loser "nothing written": after a lost answer the own write may have been in force and been replaced since, so that the statement would be false. Change: a fake store whose writes get lost, lose their answer or arrive late, with hooks for another operator's write in between. An accept that finds more than one change since its base says so (`Overtaken`), told by the base that the newest record names. The case of a write that took effect and was replaced before the read-back was reported as "nothing written" before this change.

--- a/crates/ctl/src/accept.rs
+++ b/crates/ctl/src/accept.rs
@@ -56,6 +56,12 @@
         /// What stands now.
         current: AcceptedState,
     },
+    /// Several changes came since the base. Nothing was written, unless an answer was lost: then
+    /// the record may have been in force before the newest change replaced it.
+    Overtaken {
+        /// What stands now.
+        current: AcceptedState,
+    },
 }
 
 /// Reads what is accepted for a workspace.
@@ -195,12 +201,13 @@
         SwapEnd::Conflict { current, revision } => (current, revision),
     };
     let current = state(&record.name, current, revision)?;
-    let is_own = current
-        .record
-        .as_ref()
-        .is_some_and(|other| other.token == record.token);
-    if is_own {
+    let other = current.record.as_ref();
+    if other.is_some_and(|other| other.token == record.token) {
         return Ok(AcceptEnd::Accepted { revision });
     }
-    Ok(AcceptEnd::Lost { current })
+    let base = |record: &WorkspaceRecord| Some(record.accepted.as_ref()?.base);
+    if other.and_then(base) == base(record) {
+        return Ok(AcceptEnd::Lost { current });
+    }
+    Ok(AcceptEnd::Overtaken { current })
 }
--- a/crates/ctl/src/configure.rs
+++ b/crates/ctl/src/configure.rs
@@ -13,6 +13,8 @@
 use crate::accept;
 use crate::accept::AcceptEnd;
 use crate::accept::AcceptedState;
+use crate::accept::ChangeAuthor;
+use crate::accept::PauseFn;
 use crate::args;
 use crate::clock;
 use crate::command::CommandFuture;
@@ -158,17 +160,36 @@
     let store = client(args::store(&matches)?);
     let base = args::whole(&matches, "base")?;
     let record = files::render(&path)?;
-    let seen = accept::read(&store, &record.name).await?;
+    let author = args::author(&matches);
+    accept_record(&store, &clock::pause(), &path, base, record, &author).await
+}
+
+/// Accepts a rendered record over `base`, the revision that its author saw; none for a workspace
+/// that is not there yet.
+///
+/// # Errors
+///
+/// [`CtlError`]; a lost race is an outcome.
+pub async fn accept_record(
+    store: &StoreClient,
+    pause: &PauseFn,
+    path: &str,
+    base: Option<u64>,
+    record: WorkspaceRecord,
+    author: &ChangeAuthor,
+) -> Result<CommandOutcome> {
+    let seen = accept::read(store, &record.name).await?;
     if diff::changes(seen.record.as_ref(), Some(&record)).is_empty() {
         return Ok(unchanged(&record, &seen));
     }
-    if let Some(outcome) = refuse_base(&path, base, &record, &seen)? {
+    if let Some(outcome) = refuse_base(path, base, &record, &seen)? {
         return Ok(outcome);
     }
-    let record = accept::sign(record, seen.revision, &args::author(&matches));
-    match accept::write(&store, &clock::pause(), seen.revision, &record).await? {
+    let record = accept::sign(record, seen.revision, author);
+    match accept::write(store, pause, seen.revision, &record).await? {
         AcceptEnd::Accepted { revision } => Ok(accepted(&record, &seen, revision)),
-        AcceptEnd::Lost { current } => Ok(lost(&path, &record, &seen, &current)),
+        AcceptEnd::Lost { current } => Ok(lost(path, &record, &seen, &current)),
+        AcceptEnd::Overtaken { current } => Ok(overtaken(path, &record, &seen, &current)),
     }
 }
 
@@ -244,6 +265,23 @@
     lost_outcome(path, record, seen.revision, current, &what)
 }
 
+/// Tells an operator that several changes came since, of which one may have been the own.
+fn overtaken(
+    path: &str,
+    record: &WorkspaceRecord,
+    seen: &AcceptedState,
+    current: &AcceptedState,
+) -> CommandOutcome {
+    let changes = diff::changes(seen.record.as_ref(), current.record.as_ref());
+    let what = format!(
+        "more than one change came since; yours may have been in force before the newest replaced \
+         it\nwhat changed since revision {}:\n{}",
+        seen.revision,
+        diff::text(&changes)
+    );
+    lost_outcome(path, record, seen.revision, current, &what)
+}
+
 /// Tells an operator that the base is not the newest revision any more.
 fn lost_since(
     path: &str,
@@ -259,7 +297,7 @@
     lost_outcome(path, record, base, current, &what)
 }
 
-/// Says that nothing was written and how to go on.
+/// Says that the file is not in force and how to go on.
 fn lost_outcome(
     path: &str,
     record: &WorkspaceRecord,
@@ -271,7 +309,7 @@
     let revision = current.revision;
     let author = accept::author_text(current);
     let text = format!(
-        "{name}: not accepted, nothing written: you based it on revision {base}, \
+        "{name}: not in force: you based it on revision {base}, \
          revision {revision} stands now, accepted {author}\n{what}\
          to go on: take the other change into your file, look at `jyctl diff {path}`, \
          then accept with --base {revision}\n"
--- a/crates/testutils/src/lib.rs
+++ b/crates/testutils/src/lib.rs
@@ -1,3 +1,4 @@
-//! Small helpers for tests: seeded random numbers and virtual time.
+//! Small helpers for tests: seeded random numbers and fakes of the platform.
 
+pub mod fake_store;
 pub mod seeds;
