config: settings of an agent are checked in whole

Cause: the thin parse stopped at the first finding, at line 1, column 1. Ruled out: serde_path_to_error (one finding, a path and no place). Change: the readers of workspaces read the agent's settings too: unknown setting with the nearest name, wrong type, missing, out of range, an address that stands twice, an address that others can't call, the store at an own listener, fewer than three renewals in a time to live.

--- a/crates/config/src/agent.rs
+++ b/crates/config/src/agent.rs
@@ -2,19 +2,33 @@
 
 use std::net::SocketAddr;
 
-use jy_types::finding::Finding;
-use jy_types::finding::FindingList;
 use jy_types::finding::TextPlace;
 use jy_types::member::Place;
 use jy_types::name::Name;
-use serde::Deserialize;
 
-/// Result of this module.
-pub type Result<T> = std::result::Result<T, FindingList>;
+use crate::reader;
+use crate::reader::FindingLog;
+use crate::reader::ObjectReader;
+use crate::reader::Result;
+use crate::tree;
+use crate::tree::TreeNode;
+
+/// Fewest renewals that fit into one time to live: two may get lost without a loss of the lease.
+const RENEWALS_PER_TTL: u64 = 3;
+/// Longest period of the lease protocol, in milliseconds.
+const LEASE_LIMIT_MS: u64 = 60_000;
+/// Largest body that may be allowed, in bytes.
+const BODY_LIMIT_BYTES: u64 = 64 * 1024 * 1024;
+/// Most connections that may be allowed.
+const CONNECTIONS_LIMIT: u64 = 100_000;
+/// Longest time for a request's head, in milliseconds.
+const HEAD_LIMIT_MS: u64 = 60_000;
+
+/// Levels of the logs.
+const LOG_LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
 
 /// Addresses that the agent listens on, one for each kind of caller.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListenSettings {
     /// Callers' requests.
     pub caller: SocketAddr,
@@ -29,8 +43,7 @@
 }
 
 /// Limits on what a caller may send.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LimitSettings {
     /// Largest body, in bytes.
     pub body_bytes: usize,
@@ -51,8 +64,7 @@
 }
 
 /// Periods of the lease protocol; all agents of a fleet use the same.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LeaseSettings {
     /// A support lasts this long, in milliseconds.
     pub ttl_ms: u64,
@@ -70,8 +82,7 @@
 }
 
 /// Settings of one agent.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AgentSettings {
     /// The agent's name, unique in the fleet.
     pub name: Name,
@@ -82,48 +93,204 @@
     /// Address of the platform's key-value service.
     pub store: SocketAddr,
     /// Level of the logs.
-    #[serde(default = "default_log_level")]
     pub log_level: Name,
     /// Folder for recorded traces; none to record nothing.
-    #[serde(default)]
     pub trace_dir: Option<Name>,
     /// Whether this agent reads the store itself; by default two agents of each zone do.
-    #[serde(default)]
     pub watch_store: Option<bool>,
     /// Periods of the lease protocol.
-    #[serde(default)]
     pub lease: LeaseSettings,
     /// Limits on what a caller may send.
-    #[serde(default)]
     pub limits: LimitSettings,
 }
 
-/// Level of the logs unless the settings say otherwise.
-fn default_log_level() -> Name {
-    "info".into()
-}
-
 /// Parses the settings of an agent. `source` names the text in findings.
 ///
 /// # Errors
 ///
 /// All findings with their place.
 pub fn parse(source: &str, text: &str) -> Result<AgentSettings> {
-    let value = jsonc_parser::parse_to_serde_value(text, &jsonc_parser::ParseOptions::default())
-        .map_err(|error| finding(source, &error.to_string()))?
-        .unwrap_or_default();
-    serde_json::from_value(value).map_err(|error| finding(source, &error.to_string()))
-}
-
-/// Makes a list of one finding about the whole text.
-fn finding(source: &str, message: &str) -> FindingList {
-    FindingList(vec![Finding {
-        place: TextPlace {
-            source: source.into(),
-            line: 1,
-            column: 1,
-        },
-        message: message.into(),
-        hint: "see docs/operators/install.md for the settings of an agent".into(),
-    }])
+    let node = tree::parse(source, text)?;
+    let mut log = FindingLog::new();
+    let settings = read_agent(&node, &mut log);
+    log.finish(settings)
+}
+
+/// Reads all settings.
+fn read_agent(node: &TreeNode, log: &mut FindingLog) -> Option<AgentSettings> {
+    let mut object = ObjectReader::new("the agent's settings", node, log)?;
+    let name = object.required("name", log, reader::name);
+    let place = object.required("place", log, read_place);
+    let listen = object.required("listen", log, read_listen);
+    let store_node = object.node("store");
+    let store = object.required("store", log, address);
+    let log_level = object.optional("log_level", log, read_level);
+    let trace_dir = object.optional("trace_dir", log, reader::text);
+    let watch_store = object.optional("watch_store", log, reader::boolean);
+    let lease = object.optional("lease", log, read_lease);
+    let limits = object.optional("limits", log, read_limits);
+    object.finish(log);
+    if let (Some(store), Some(node), Some(listen)) = (store, store_node, &listen) {
+        check_store(store, &node.place, listen, log);
+    }
+    Some(AgentSettings {
+        name: name?,
+        place: place?,
+        listen: listen?,
+        store: store?,
+        log_level: log_level.unwrap_or_else(|| "info".into()),
+        trace_dir,
+        watch_store,
+        lease: lease.unwrap_or_default(),
+        limits: limits.unwrap_or_default(),
+    })
+}
+
+/// Reads an IP address and port.
+fn address(node: &TreeNode, log: &mut FindingLog) -> Option<SocketAddr> {
+    let text = reader::text(node, log)?;
+    let hint = "write an IP address and a port, such as \"10.0.0.7:7100\"";
+    let address: Option<SocketAddr> = text.parse().ok();
+    match address {
+        None => log.refuse(node, format!("{text:?} is not an address"), hint),
+        Some(address) if address.port() == 0 => {
+            log.refuse(node, format!("{text:?} has no port"), hint);
+        }
+        Some(_) => {}
+    }
+    address
+}
+
+/// Reads where the instance stands.
+fn read_place(node: &TreeNode, log: &mut FindingLog) -> Option<Place> {
+    let mut object = ObjectReader::new("\"place\"", node, log)?;
+    let region = object.required("region", log, reader::name);
+    let zone = object.required("zone", log, reader::name);
+    let rack = object.required("rack", log, reader::name);
+    object.finish(log);
+    Some(Place {
+        region: region?,
+        zone: zone?,
+        rack: rack?,
+    })
+}
+
+/// Reads the listeners' addresses and checks that none stands twice. Other agents call the peers'
+/// and operators' listeners at the written address, so those need an IP number of this instance.
+fn read_listen(node: &TreeNode, log: &mut FindingLog) -> Option<ListenSettings> {
+    let mut object = ObjectReader::new("\"listen\"", node, log)?;
+    let mut seen: Vec<(&str, SocketAddr)> = Vec::new();
+    let mut read = |name: &'static str, log: &mut FindingLog| {
+        let node = object.node(name);
+        let address = object.required(name, log, address)?;
+        let place = &node?.place;
+        let taken = seen.iter().find(|(_, other)| clash(*other, address));
+        if let Some((other, _)) = taken {
+            let message = format!("{name:?} has the address of {other:?}, {address}");
+            log.add(place, message, "give each listener a port of its own");
+        }
+        seen.push((name, address));
+        if address.ip().is_unspecified() && !["caller", "backend"].contains(&name) {
+            let message = format!("{name:?} has the address {address}, which others can't call");
+            log.add(place, message, "write an IP number of this instance");
+        }
+        Some(address)
+    };
+    let caller = read("caller", log);
+    let peer_rpc = read("peer_rpc", log);
+    let peer_forward = read("peer_forward", log);
+    let backend = read("backend", log);
+    let operator = read("operator", log);
+    object.finish(log);
+    Some(ListenSettings {
+        caller: caller?,
+        peer_rpc: peer_rpc?,
+        peer_forward: peer_forward?,
+        backend: backend?,
+        operator: operator?,
+    })
+}
+
+/// Whether two listeners can't both have their address.
+fn clash(one: SocketAddr, other: SocketAddr) -> bool {
+    let same_ip = one.ip() == other.ip();
+    let any_ip = one.ip().is_unspecified() || other.ip().is_unspecified();
+    one.port() == other.port() && (same_ip || any_ip)
+}
+
+/// Checks that the store is not one of the agent's own listeners.
+fn check_store(
+    store: SocketAddr,
+    place: &TextPlace,
+    listen: &ListenSettings,
+    log: &mut FindingLog,
+) {
+    let own = [
+        listen.caller,
+        listen.peer_rpc,
+        listen.peer_forward,
+        listen.backend,
+        listen.operator,
+    ];
+    if own.contains(&store) {
+        let message = format!("\"store\" has the address of an own listener, {store}");
+        log.add(
+            place,
+            message,
+            "write the address of the platform's key-value service",
+        );
+    }
+}
+
+/// Reads the level of the logs.
+fn read_level(node: &TreeNode, log: &mut FindingLog) -> Option<Name> {
+    let level = reader::text(node, log)?;
+    if !LOG_LEVELS.contains(&&*level) {
+        let message = format!("unknown level {level:?} of the logs");
+        log.refuse(node, message, reader::name_hint(&level, &LOG_LEVELS));
+    }
+    Some(level)
+}
+
+/// Reads the periods of the lease protocol.
+fn read_lease(node: &TreeNode, log: &mut FindingLog) -> Option<LeaseSettings> {
+    let standard = LeaseSettings::default();
+    let period = reader::whole(1, LEASE_LIMIT_MS);
+    let mut object = ObjectReader::new("\"lease\"", node, log)?;
+    let ttl = object.optional("ttl_ms", log, &period);
+    let renew_every = object.optional("renew_every_ms", log, &period);
+    object.finish(log);
+    let settings = LeaseSettings {
+        ttl_ms: ttl.unwrap_or(standard.ttl_ms),
+        renew_every_ms: renew_every.unwrap_or(standard.renew_every_ms),
+    };
+    let least = settings.renew_every_ms * RENEWALS_PER_TTL;
+    if settings.ttl_ms < least {
+        let message = format!(
+            "a time to live of {} ms holds fewer than {RENEWALS_PER_TTL} renewals, one each {} ms",
+            settings.ttl_ms, settings.renew_every_ms
+        );
+        log.add(
+            &node.place,
+            message,
+            format!("set \"ttl_ms\" to {least} or more"),
+        );
+    }
+    Some(settings)
+}
+
+/// Reads the limits on callers.
+fn read_limits(node: &TreeNode, log: &mut FindingLog) -> Option<LimitSettings> {
+    let standard = LimitSettings::default();
+    let mut object = ObjectReader::new("\"limits\"", node, log)?;
+    let body = object.optional("body_bytes", log, reader::whole(1, BODY_LIMIT_BYTES));
+    let connections = object.optional("connections", log, reader::whole(1, CONNECTIONS_LIMIT));
+    let head = object.optional("head_timeout_ms", log, reader::whole(1, HEAD_LIMIT_MS));
+    object.finish(log);
+    let size = |value: Option<u64>| value.and_then(|value| usize::try_from(value).ok());
+    Some(LimitSettings {
+        body_bytes: size(body).unwrap_or(standard.body_bytes),
+        connections: size(connections).unwrap_or(standard.connections),
+        head_timeout_ms: head.unwrap_or(standard.head_timeout_ms),
+    })
 }
--- a/crates/ctl/src/configure.rs
+++ b/crates/ctl/src/configure.rs
@@ -29,10 +29,12 @@
 /// `jyctl check`.
 pub const CHECK: CommandSpec = CommandSpec {
     name: "check",
-    arguments: "WORKSPACE.jsonc ...",
+    arguments: "FILE.jsonc ...",
     about: "Checks workspace files and their templates and reports every finding.",
     example: "jyctl check examples/seal-registry.jsonc",
-    options: |_| {},
+    options: |options| {
+        options.optflag("", "agent-settings", "the files are settings of agents");
+    },
     run: |matches| Box::pin(async move { check(&matches) }),
 };
 
@@ -86,9 +88,13 @@
     }
     let mut names = Vec::new();
     let mut findings: Vec<Finding> = Vec::new();
+    let read = match matches.opt_present("agent-settings") {
+        true => |path: &str| files::agent_settings(path).map(|settings| settings.name),
+        false => |path: &str| files::render(path).map(|record| record.name),
+    };
     for path in &matches.free {
-        match files::render(path) {
-            Ok(record) => names.push(record.name),
+        match read(path) {
+            Ok(name) => names.push(name),
             Err(CtlError::Findings(list)) => findings.extend(list.0),
             Err(error) => return Err(error),
         }
@@ -101,7 +107,7 @@
     let text = names.iter().map(|name| format!("{name}: no findings\n"));
     Ok(CommandOutcome::new(
         text.collect::<String>(),
-        json!({"workspaces": names, "findings": []}),
+        json!({"names": names, "findings": []}),
     ))
 }
 
--- a/crates/ctl/src/files.rs
+++ b/crates/ctl/src/files.rs
@@ -3,6 +3,8 @@
 use std::fs;
 use std::path::Path;
 
+use jy_config::agent;
+use jy_config::agent::AgentSettings;
 use jy_config::render;
 use jy_config::render::SourceText;
 use jy_types::workspace::WorkspaceRecord;
@@ -44,3 +46,13 @@
     };
     Ok(render::render(&source, load)?)
 }
+
+/// Reads the settings of an agent.
+///
+/// # Errors
+///
+/// [`CtlError::File`] or [`CtlError::Findings`].
+pub fn agent_settings(path: &str) -> Result<AgentSettings> {
+    let source = read(path)?;
+    Ok(agent::parse(&source.name, &source.text)?)
+}
