agent, control: one gate sees every repeat of a non-idempotent request

Cause: a registration sent with an id right after a service was placed was refused as outcome unknown, and a repeat through another agent to a service not divided by key went to another gate, which knows nothing of the first run. Ruled out: telling ids to all gates of a service, which costs a message a request and races; a longer window, which does not help a gate that never saw the id. Change: every service with non-idempotent requests has an assignment; such a request goes to the owner of its key, or else of its id. A unit's first grant ever says so in the page, and its owner need not fear earlier runs. A refusal keeps the gate's own words. Conclusion: repeats are answered from one window wherever they enter; plain ids after a loss stay refused as unknown for their hold time, as before.

--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -12,6 +12,7 @@
 use jy_types::name::Name;
 use jy_types::peer::StoredAnswer;
 use jy_types::request::IDEMPOTENCY_HEADER;
+use jy_types::request::IN_FLIGHT_HEADER;
 use jy_types::request::KEY_HEADER;
 use jy_types::request::ProblemDetails;
 use jy_types::request::RAN_HEADER;
@@ -34,7 +35,7 @@
 const PATH_PREFIX: &str = "/w/";
 
 /// Headers that concern one connection only, or that the agent sets itself.
-const OWN_HEADERS: [&str; 14] = [
+const OWN_HEADERS: [&str; 15] = [
     "connection",
     "content-length",
     "host",
@@ -49,6 +50,7 @@
     TIMEOUT_HEADER,
     REQUEST_ID_HEADER,
     RECEIVED_HEADER,
+    IN_FLIGHT_HEADER,
 ];
 
 /// One request, read whole.
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -211,7 +211,7 @@
         Ok(Arrival {
             ticket,
             unit,
-            idempotent: rule.is_some_and(|rule| rule.idempotent),
+            idempotent: is_idempotent(spec, exchange),
             idempotency_key: exchange.idempotency_key.clone(),
             digest: exchange.digest(),
             urgency: rule.map(|rule| rule.urgency).unwrap_or_default(),
@@ -481,7 +481,8 @@
     })
 }
 
-/// Reads the key of a request to a keyed service.
+/// Reads the key whose owner must serve a request. Outside of services divided by key that is the
+/// key, or else the id, of a non-idempotent request: so one gate sees every repeat of it.
 ///
 /// # Errors
 ///
@@ -490,17 +491,25 @@
     spec: &ServiceSpec,
     exchange: &RequestExchange,
 ) -> Result<Option<KeyHash>, Refusal> {
+    let hash = |key: &Name| KeyHash::new(key);
     if !spec.keyed {
-        return Ok(None);
+        let id = exchange.key.as_ref().or(exchange.idempotency_key.as_ref());
+        return Ok(id.filter(|_| !is_idempotent(spec, exchange)).map(hash));
     }
-    let key: &Name = exchange.key.as_ref().ok_or_else(|| {
+    let key = exchange.key.as_ref().ok_or_else(|| {
         let detail = format!(
             "service {:?} is divided by key; send the header jy-key",
             &*spec.name
         );
         Refusal::new(RefusalKind::BadRequest, detail)
     })?;
-    Ok(Some(KeyHash::new(key)))
+    Ok(Some(hash(key)))
+}
+
+/// Whether a second run of a request does no harm, by the workspace's configuration.
+pub fn is_idempotent(spec: &ServiceSpec, exchange: &RequestExchange) -> bool {
+    spec.rule(exchange.method.as_str(), exchange.bare_path())
+        .is_some_and(|rule| rule.idempotent)
 }
 
 /// Headers that a dispatch carries on top of the caller's.
--- a/crates/agent/src/gateway.rs
+++ b/crates/agent/src/gateway.rs
@@ -35,6 +35,7 @@
 use crate::exchange::read_refusal;
 use crate::gate::GateService;
 use crate::gate::find_service;
+use crate::gate::is_idempotent;
 use crate::gate::read_key;
 use crate::http::header;
 use crate::metrics::AgentMetrics;
@@ -182,7 +183,6 @@
         let name: ServiceKey = (exchange.workspace.clone(), exchange.service.clone());
         let spec = find_service(&view, &name)?;
         let key = read_key(spec, exchange)?;
-        let rule = spec.rule(exchange.method.as_str(), exchange.bare_path());
         let wanted = exchange.timeout_ms.unwrap_or(spec.timeout_ms);
         let ticket = self.next_ticket.get();
         self.next_ticket.set(ticket + 1);
@@ -191,7 +191,7 @@
             workspace: name.0,
             service: name.1,
             key,
-            idempotent: rule.is_some_and(|rule| rule.idempotent),
+            idempotent: is_idempotent(spec, exchange),
             deadline: now.plus(wanted.min(spec.timeout_ms)),
         })
     }
@@ -218,6 +218,7 @@
             RouteAction::Cancel { ticket, attempt } => self.cancel(ticket, attempt),
             RouteAction::Finish { ticket, attempt } => self.finish(ticket, attempt),
             RouteAction::Refuse { ticket, refusal } => {
+                let refusal = self.gate_refusal(ticket, &refusal).unwrap_or(refusal);
                 self.reply(ticket, ExchangeReply::Refused(refusal));
             }
             RouteAction::Pull => {
@@ -326,6 +327,18 @@
         }
     }
 
+    /// Returns what a gate said of the same kind of refusal: it knows more of the cause.
+    fn gate_refusal(&self, ticket: u64, refusal: &Refusal) -> Option<Refusal> {
+        let calls = self.calls.borrow();
+        let slots = calls.get(&ticket)?.attempts.values().rev();
+        let said = slots.filter_map(|slot| match &slot.reply {
+            Some(ExchangeReply::Refused(said)) => Some(said),
+            _ => None,
+        });
+        let mut same = said.filter(|said| said.kind == refusal.kind && said.ran == refusal.ran);
+        same.next().cloned()
+    }
+
     /// Gives the caller its reply.
     fn reply(&self, ticket: u64, reply: ExchangeReply) {
         let call = self.calls.borrow_mut().remove(&ticket);
--- a/crates/agent/src/grants.rs
+++ b/crates/agent/src/grants.rs
@@ -101,7 +101,7 @@
         let same = known.filter(|known| known.fence == grant.fence);
         let handed_over = match same {
             Some(known) => known.handed_over,
-            None => self.handed.borrow_mut().remove(&unit),
+            None => self.handed.borrow_mut().remove(&unit) || grant.initial,
         };
         OwnedUnit {
             fence: grant.fence,
--- a/crates/agent/src/send.rs
+++ b/crates/agent/src/send.rs
@@ -105,6 +105,7 @@
 /// Tells whether anything of a failed request went out.
 fn failed(error: &SendRequestError) -> SendEnd {
     let cause = error.to_string().into();
+    log::debug!("send failed: {cause}");
     match error {
         SendRequestError::Connect(_) | SendRequestError::Url(_) => SendEnd::NotSent(cause),
         _ => SendEnd::Unknown(cause),
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -226,7 +226,7 @@
             .map(|workspace| workspace.value.clone())
             .collect();
         for workspace in workspaces {
-            for spec in workspace.services.iter().filter(|spec| spec.keyed) {
+            for spec in workspace.services.iter().filter(|spec| spec.has_owners()) {
                 let service = (workspace.name.clone(), spec.name.clone());
                 let notes = self.services.entry(service.clone()).or_default();
                 let mut step = ServiceStep {
--- a/crates/control/src/fake_fleet.rs
+++ b/crates/control/src/fake_fleet.rs
@@ -902,5 +902,6 @@
         zones_out: Vec::new(),
         services: (0..settings.services).map(spec).collect(),
         token: 0,
+        accepted: None,
     }
 }
--- a/crates/control/src/pages.rs
+++ b/crates/control/src/pages.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use jy_types::assign::Fence;
 use jy_types::assign::Grant;
 use jy_types::assign::PageRecord;
 use jy_types::assign::PinnedKey;
@@ -56,6 +57,7 @@
                 let owner = self.index_of(owner);
                 let fence = next_fence();
                 if let Some(grant) = self.grant_mut(unit) {
+                    grant.initial = grant.fence == Fence::default();
                     grant.owner = Some(owner);
                     grant.next = None;
                     grant.fence.0 = fence;
--- a/crates/route/src/api.rs
+++ b/crates/route/src/api.rs
@@ -48,7 +48,8 @@
     pub workspace: Name,
     /// Service name.
     pub service: Name,
-    /// Hash of the key, where the service is divided by key.
+    /// Hash of the key whose owner must serve it: in a service divided by key always, elsewhere for
+    /// non-idempotent requests that carry an id.
     pub key: Option<KeyHash>,
     /// Whether a second run does no harm.
     pub idempotent: bool,
--- a/crates/route/src/core.rs
+++ b/crates/route/src/core.rs
@@ -105,12 +105,12 @@
             actions.push(RouteAction::Refuse { ticket, refusal });
             return;
         };
-        let is_keyed = service.keyed;
-        if is_keyed && request.key.is_none() {
+        if service.keyed && request.key.is_none() {
             let refusal = refusals::key_missing();
             actions.push(RouteAction::Refuse { ticket, refusal });
             return;
         }
+        let is_keyed = request.key.is_some();
         self.retries.earn();
         if request.idempotent && !is_keyed {
             self.hedges.earn();
--- a/crates/types/src/assign.rs
+++ b/crates/types/src/assign.rs
@@ -36,6 +36,18 @@
     /// The owner to come during a planned move.
     #[serde(rename = "n", skip_serializing_if = "Option::is_none", default)]
     pub next: Option<u16>,
+    /// Whether this is the first grant ever of the unit: no earlier owner knows of requests.
+    #[serde(rename = "i", skip_serializing_if = "is_false", default)]
+    pub initial: bool,
+}
+
+/// Whether a flag is not set and so left out of the record.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+const fn is_false(flag: &bool) -> bool {
+    !*flag
 }
 
 /// A single key owned apart from its slice.
--- a/crates/types/src/workspace.rs
+++ b/crates/types/src/workspace.rs
@@ -83,6 +83,16 @@
         };
         self.routes.iter().find(matches)
     }
+
+    /// Whether some requests have an owner: all of a service divided by key, and elsewhere those
+    /// that are non-idempotent, so that one gate sees every repeat.
+    #[must_use]
+    pub fn has_owners(&self) -> bool {
+        let is_catch_all = |rule: &&RouteRule| &*rule.method == "*" && &*rule.path == "/";
+        let last = self.routes.iter().position(|rule| is_catch_all(&rule));
+        let reached = &self.routes[..last.map_or(self.routes.len(), |index| index + 1)];
+        self.keyed || last.is_none() || reached.iter().any(|rule| !rule.idempotent)
+    }
 }
 
 /// The accepted configuration of one workspace.
