control: split the fake fleet by job

Ruled out: nothing; the code is moved as it was. Change: tasks, calls, peers and changes of the fake fleet apart; the choice of monitors apart from the members.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -21,12 +21,12 @@
 use crate::api::ControlSettings;
 use crate::grants::ReleaseMap;
 use crate::loads::LoadTable;
-use crate::members::FleetWatch;
 use crate::members::MemberNotes;
 use crate::members::MemberWrite;
 use crate::services::RoleTerm;
 use crate::services::ServiceNotes;
 use crate::services::ServiceStep;
+use crate::watches::FleetWatch;
 use crate::writes::WriteLedger;
 
 /// Changes are gathered this long before they are looked at, in milliseconds.
--- /dev/null
+++ b/crates/control/src/fake_peers.rs
@@ -0,0 +1,163 @@
+//! What the agents of a fake fleet do: report, vote and release units.
+
+use std::collections::BTreeMap;
+
+use jy_feed::view::ServiceKey;
+use jy_types::key::Unit;
+use jy_types::member::AgentId;
+use jy_types::member::MemberState;
+use jy_types::peer::AgentReport;
+use jy_types::peer::ReleaseNotice;
+use jy_types::peer::VoteNotice;
+use jy_types::time::Millis;
+use rand::Rng;
+
+use crate::api::ControlEvent;
+use crate::fake_fleet::FakeFleet;
+use crate::fake_tasks::FleetTask;
+
+/// Agents report this often, in milliseconds.
+const REPORT_EVERY_MS: u64 = 2_000;
+
+/// Votes and releases are looked at this often, in milliseconds.
+const ROUND_MS: u64 = 100;
+
+impl FakeFleet {
+    /// Every agent that runs reports, spread over the period.
+    pub(crate) fn report_all(&mut self) {
+        self.plan(REPORT_EVERY_MS, FleetTask::Reports);
+        let mut by_owner = BTreeMap::new();
+        for (service, load) in &self.loads {
+            let Some(pages) = self.checks.pages.get(service) else {
+                continue;
+            };
+            let rng: Option<&mut dyn rand::RngCore> = if self.settings.noise {
+                Some(&mut self.rng)
+            } else {
+                None
+            };
+            by_owner.extend(load.by_owner(pages, rng));
+        }
+        for number in 0..self.agents.len() {
+            let load = by_owner.remove(&self.agents[number].id).unwrap_or_default();
+            let mut report = self.report(number);
+            report.slices = load.slices;
+            report.keys = load.keys;
+            let agent = &self.agents[number];
+            if agent.is_up() && !self.checks.is_over(&agent.id) {
+                let after = self.rng.random_range(0..REPORT_EVERY_MS);
+                self.plan(after, FleetTask::Report(Box::new(report)));
+            }
+        }
+    }
+
+    /// Returns an agent's report without loads.
+    pub(crate) fn report(&self, number: usize) -> AgentReport {
+        let agent = &self.agents[number];
+        let member = self.checks.members.get(&agent.id);
+        let changed = self
+            .sets_changed
+            .get(&agent.id)
+            .copied()
+            .unwrap_or_default();
+        let heard = self.now.since(changed) > self.settings.spread_ms + 100;
+        let epoch = member.map_or(0, |member| match &member.next_monitors {
+            Some(next) if heard => next.epoch,
+            _ => member.monitors.epoch,
+        });
+        AgentReport {
+            from: agent.id.clone(),
+            monitors_epoch: epoch,
+            leaving: agent.leaving_at.is_some(),
+            revision: self.store.revision(),
+            slices: Vec::new(),
+            keys: Vec::new(),
+        }
+    }
+
+    /// Monitors vote against lost agents, and owners release what is to move.
+    pub(crate) fn round(&mut self) {
+        self.plan(ROUND_MS, FleetTask::Round);
+        if self.store.expire(self.now) {
+            self.tell_alive(None);
+        }
+        for number in 0..self.agents.len() {
+            if let Some(lost_at) = self.agents[number].lost_at {
+                self.vote(number, lost_at);
+            } else {
+                self.release(number);
+            }
+        }
+    }
+
+    /// The monitors of a lost agent whose promise has run out vote.
+    pub(crate) fn vote(&mut self, number: usize, lost_at: Millis) {
+        let target = self.agents[number].id.clone();
+        let Some(member) = self.checks.members.get(&target) else {
+            return;
+        };
+        if !matches!(member.state, MemberState::Live | MemberState::Leaving) {
+            return;
+        }
+        let lease = self.settings.control.lease;
+        let next = member.next_monitors.iter().flat_map(|set| &set.monitors);
+        let monitors: Vec<AgentId> = member
+            .monitors
+            .monitors
+            .iter()
+            .chain(next)
+            .cloned()
+            .collect();
+        for (index, monitor) in monitors.into_iter().enumerate() {
+            let up = self
+                .agents
+                .iter()
+                .any(|agent| agent.id == monitor && agent.is_up());
+            let phase = (number as u64 * 7 + index as u64 * 131) % lease.renew_every_ms;
+            let ends = lost_at
+                .minus(phase)
+                .plus(lease.ttl_ms + lease.drift_margin_ms);
+            if up && self.now >= ends {
+                let vote = VoteNotice {
+                    from: monitor,
+                    target: target.clone(),
+                };
+                self.tell_controller(ControlEvent::Vote(vote));
+            }
+        }
+    }
+
+    /// An owner releases what it has let go, again and again until the records show it.
+    pub(crate) fn release(&mut self, number: usize) {
+        let now = self.now;
+        let due: Vec<(ServiceKey, Unit)> = self.agents[number]
+            .moving
+            .iter()
+            .filter(|(_, at)| **at <= now)
+            .map(|(unit, _)| unit.clone())
+            .collect();
+        let mut notices: BTreeMap<ServiceKey, Vec<Unit>> = BTreeMap::new();
+        for (service, unit) in due {
+            let id = &self.agents[number].id;
+            match self.checks.holder(&service, unit) {
+                Some((owner, grant)) if owner == *id && grant.next.is_some() => {
+                    let released = (service.clone(), unit, grant.fence);
+                    self.checks.released.insert(released);
+                    notices.entry(service).or_default().push(unit);
+                }
+                _ => {
+                    self.agents[number].moving.remove(&(service, unit));
+                }
+            }
+        }
+        for (service, units) in notices {
+            let notice = ReleaseNotice {
+                from: self.agents[number].id.clone(),
+                workspace: service.0,
+                service: service.1,
+                units,
+            };
+            self.tell_controller(ControlEvent::Released(notice));
+        }
+    }
+}
