--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use anyhow::Result;
+use jy_bench::lease;
 use jy_bench::report;
 
 /// One subcommand: its name, one line of help, and what it runs with the arguments after it.
@@ -13,7 +14,11 @@
 }
 
 /// All subcommands.
-const COMMANDS: &[BenchCommand] = &[];
+const COMMANDS: &[BenchCommand] = &[BenchCommand {
+    name: "lease-check",
+    help: "random schedules of the lease protocol, and each rule broken on purpose",
+    run: lease::check,
+}];
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod holder;
 pub mod monitor;
+pub mod rule;
 pub mod tally;
 pub mod timing;
--- /dev/null
+++ b/crates/lease/tests/test_check.rs
@@ -0,0 +1,102 @@
+//! Random schedules of the lease protocol, a seeded share of what `jybench lease-check` runs.
+
+use googletest::prelude::*;
+use jy_lease::rule::BrokenRule;
+use jy_lease::timing::LeaseTiming;
+use jy_testutils::lease_check::clock::DriftClock;
+use jy_testutils::lease_check::outcome::CheckOutcome;
+use jy_testutils::lease_check::settings::CheckSettings;
+use jy_testutils::lease_check::world::run_random;
+use jy_types::time::Millis;
+
+/// Seeds of schedules with every rule in force.
+const SEEDS: std::ops::Range<u64> = 1..151;
+
+fn sum(run: impl Fn(u64) -> CheckOutcome) -> CheckOutcome {
+    SEEDS
+        .map(run)
+        .fold(CheckOutcome::default(), CheckOutcome::with)
+}
+
+/// First seed of the rule that shows seldom; `jybench lease-check` prints one.
+const DRIFT_SEED: u64 = 3_130;
+
+/// Counts unsafe schedules among a few seeds with a rule broken.
+fn unsafe_with(rule: BrokenRule, first: u64) -> u64 {
+    let run = |seed| run_random(&CheckSettings::provoking(rule, seed), seed);
+    let outcomes = (first..first + 80).map(run);
+    let outcome = outcomes.fold(CheckOutcome::default(), CheckOutcome::with);
+    outcome.unsafe_schedules
+}
+
+#[gtest]
+fn over_wait_covers_drift_of_its_whole_span() {
+    let timing = LeaseTiming::default();
+    let slow = DriftClock::new(0, -10_000);
+    let fast = DriftClock::new(0, 10_000);
+    let last_support = slow.real(Millis(timing.monitor_grace_ms + timing.ttl_ms));
+    expect_that!(fast.real(Millis(timing.over_wait_ms())), ge(last_support));
+    let flat = timing.monitor_grace_ms + timing.promise_ms();
+    expect_that!(fast.real(Millis(flat)), lt(last_support));
+}
+
+#[gtest]
+fn run_random_mixed_faults_safe() {
+    let outcome = sum(|seed| run_random(&CheckSettings::mixed(seed), seed));
+    expect_that!(outcome.unsafe_seed, none());
+    expect_that!(outcome.verdicts, gt(SEEDS.end));
+    expect_that!(outcome.promotions, gt(SEEDS.end));
+}
+
+#[gtest]
+fn run_random_isolated_monitor_safe() {
+    let outcome = sum(|seed| run_random(&CheckSettings::isolating(), seed));
+    expect_that!(outcome.unsafe_seed, none());
+    expect_that!(outcome.verdicts, ge(SEEDS.end - SEEDS.start));
+    expect_that!(outcome.missed, eq(0));
+}
+
+#[gtest]
+fn run_random_renew_after_vote_unsafe() {
+    expect_that!(unsafe_with(BrokenRule::RenewAfterVote, 1), gt(0));
+}
+
+#[gtest]
+fn run_random_short_promise_unsafe() {
+    expect_that!(unsafe_with(BrokenRule::ShortPromise, 1), gt(0));
+}
+
+#[gtest]
+fn run_random_support_from_reply_unsafe() {
+    expect_that!(unsafe_with(BrokenRule::SupportFromReply, 1), gt(0));
+}
+
+#[gtest]
+fn run_random_no_joint_set_unsafe() {
+    expect_that!(unsafe_with(BrokenRule::NoJointSet, 1), gt(0));
+}
+
+#[gtest]
+fn run_random_change_after_verdict_unsafe() {
+    expect_that!(unsafe_with(BrokenRule::ChangeAfterVerdict, 1), gt(0));
+}
+
+#[gtest]
+fn run_random_support_without_lease_unsafe() {
+    expect_that!(unsafe_with(BrokenRule::SupportWithoutLease, 1), gt(0));
+}
+
+#[gtest]
+fn run_random_wait_without_grace_unsafe() {
+    expect_that!(unsafe_with(BrokenRule::WaitWithoutGrace, 1), gt(0));
+}
+
+#[gtest]
+fn run_random_wait_without_drift_unsafe() {
+    expect_that!(unsafe_with(BrokenRule::WaitWithoutDrift, DRIFT_SEED), gt(0));
+}
+
+#[gtest]
+fn run_random_left_while_leased_unsafe() {
+    expect_that!(unsafe_with(BrokenRule::LeftWhileLeased, 1), gt(0));
+}
--- /dev/null
+++ b/crates/testutils/src/lease_check/world.rs
@@ -0,0 +1,387 @@
+//! A schedule: nodes, controllers, store and network in virtual time.
+
+use std::sync::Arc;
+
+use jy_types::member::AgentId;
+use jy_types::member::MemberState;
+use jy_types::time::Millis;
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use super::clock::DriftClock;
+use super::controller::ControllerInput;
+use super::controller::ModelController;
+use super::effects::SAMPLE_MS;
+use super::fault::Fault;
+use super::fault::TimedFault;
+use super::network::CutSpan;
+use super::network::Machine;
+use super::network::NetworkProfile;
+use super::node::ModelNode;
+use super::node::NodeInput;
+use super::node::NodeOutput;
+use super::outcome::CheckOutcome;
+use super::queue::EventQueue;
+use super::settings::CheckSettings;
+use super::store::ModelStore;
+use super::store::StoreWrite;
+use super::store::StoredRecord;
+use super::store::index_of;
+use super::store::joining_record;
+use crate::seeds;
+
+/// Something that happens at a real time.
+#[derive(Debug)]
+pub(super) enum WorldEvent {
+    /// A node's deadline.
+    NodeTick(usize),
+    /// Something reaches a node.
+    Node(usize, NodeInput),
+    /// Something reaches a controller.
+    Controller(usize, ControllerInput),
+    /// A controller's deadline.
+    ControllerTick(usize),
+    /// A write reaches the store.
+    Write(StoreWrite),
+    /// A node's read of its own record reaches the store.
+    ReadOwn(usize, Millis),
+    /// A fault begins.
+    Fault(Fault),
+    /// A new incarnation starts on an instance.
+    Start(usize),
+    /// Agents report to controllers, and the outcome is sampled.
+    Sample,
+}
+
+/// Time between decisions of a controller.
+const CONTROLLER_TICK_MS: u64 = 100;
+/// An agent that was told it is over starts again after this time.
+const REJOIN_MS: u64 = 200;
+
+/// A schedule under way.
+#[derive(Debug)]
+pub struct World {
+    pub(super) settings: CheckSettings,
+    pub(super) rng: StdRng,
+    pub(super) now: u64,
+    pub(super) queue: EventQueue<WorldEvent>,
+    pub(super) nodes: Vec<ModelNode>,
+    pub(super) killed_at: Vec<Option<u64>>,
+    pub(super) verdict_at: Vec<Option<u64>>,
+    pub(super) controllers: Vec<ModelController>,
+    pub(super) store: ModelStore,
+    pub(super) store_down_until: u64,
+    pub(super) cuts: Vec<CutSpan>,
+    pub(super) outcome: CheckOutcome,
+    pub(super) is_unsafe: bool,
+}
+
+/// Runs a schedule of random faults.
+#[must_use]
+pub fn run_random(settings: &CheckSettings, seed: u64) -> CheckOutcome {
+    let mut rng = seeds::rng(seed);
+    let faults = (settings.draw)(settings, &mut rng);
+    let mut outcome = World::new(settings.clone(), faults, rng).run();
+    outcome.unsafe_seed = (outcome.unsafe_schedules > 0).then_some(seed);
+    outcome
+}
+
+impl World {
+    /// Sets up a schedule.
+    fn new(settings: CheckSettings, faults: Vec<TimedFault>, rng: StdRng) -> Self {
+        let mut world = Self {
+            settings,
+            rng,
+            now: 0,
+            queue: EventQueue::new(),
+            nodes: Vec::new(),
+            killed_at: Vec::new(),
+            verdict_at: Vec::new(),
+            controllers: Vec::new(),
+            store: ModelStore::default(),
+            store_down_until: 0,
+            cuts: Vec::new(),
+            outcome: CheckOutcome {
+                schedules: 1,
+                ..CheckOutcome::default()
+            },
+            is_unsafe: false,
+        };
+        for controller in 0..world.settings.controllers {
+            let clock = world.draw_clock();
+            let model = ModelController::new(&world.settings, clock);
+            world.controllers.push(model);
+            world.queue.push(1, WorldEvent::ControllerTick(controller));
+        }
+        for slot in 0..world.settings.agents {
+            let start = world.rng.random_range(0..300);
+            world.queue.push(start, WorldEvent::Start(slot));
+        }
+        world.queue.push(SAMPLE_MS, WorldEvent::Sample);
+        for fault in faults {
+            world.queue.push(fault.at, WorldEvent::Fault(fault.fault));
+        }
+        world
+    }
+
+    /// Runs to the end.
+    fn run(mut self) -> CheckOutcome {
+        while let Some((at, event)) = self.queue.pop() {
+            if at > self.settings.length {
+                break;
+            }
+            self.now = at;
+            self.handle(event);
+        }
+        self.finish()
+    }
+
+    fn handle(&mut self, event: WorldEvent) {
+        match event {
+            WorldEvent::NodeTick(index) => self.tick_node(index),
+            WorldEvent::Node(index, input) => self.give_node(index, input),
+            WorldEvent::Controller(index, input) => self.give_controller(index, input),
+            WorldEvent::ControllerTick(index) => self.tick_controller(index),
+            WorldEvent::Write(write) => self.write(write),
+            WorldEvent::ReadOwn(index, sent) => self.read_own(index, sent),
+            WorldEvent::Fault(fault) => self.begin(fault),
+            WorldEvent::Start(slot) => self.start(slot),
+            WorldEvent::Sample => self.sample(),
+        }
+    }
+
+    fn draw_clock(&mut self) -> DriftClock {
+        let most = self.settings.drift_ppm;
+        let drift = match self.rng.random_range(0..3) {
+            0 => -most,
+            1 => most,
+            _ => self.rng.random_range(-most..=most),
+        };
+        DriftClock::new(self.rng.random_range(10_000..1_000_000), drift)
+    }
+
+    /// Starts a new incarnation, which writes its own record.
+    fn start(&mut self, slot: usize) {
+        let index = self.nodes.len();
+        let id = AgentId::new(format!("a{slot}"), index as u64);
+        let place = self.settings.place_of(slot);
+        let record = Arc::new(joining_record(id, place));
+        self.store.announce(record.clone());
+        let clock = self.draw_clock();
+        let node = ModelNode::new(&self.settings, record, slot, clock, self.now);
+        self.nodes.push(node);
+        self.killed_at.push(None);
+        self.verdict_at.push(None);
+        for known in 0..index {
+            let stored = self.store.record(known).clone();
+            self.spread_to_node(index, stored);
+        }
+        self.queue_tick(index);
+    }
+
+    fn queue_tick(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let at = node.next_tick().max(self.now + 1);
+        if node.tick_queued.is_none_or(|queued| at < queued) {
+            node.tick_queued = Some(at);
+            self.queue.push(at, WorldEvent::NodeTick(index));
+        }
+    }
+
+    fn tick_node(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        if node.tick_queued != Some(self.now) {
+            return;
+        }
+        node.tick_queued = None;
+        self.give_node(index, NodeInput::Tick);
+    }
+
+    /// Lets a node take an input, or keeps it until a stopped process goes on.
+    pub(super) fn give_node(&mut self, index: usize, input: NodeInput) {
+        let node = &mut self.nodes[index];
+        if !node.runs {
+            return;
+        }
+        let is_record = matches!(input, NodeInput::Record(_));
+        let behind_until = if is_record { node.behind_until } else { 0 };
+        let held_until = node.frozen_until.max(behind_until);
+        if self.now < held_until {
+            let at = held_until + self.rng.random_range(0..3);
+            self.queue.push(at, WorldEvent::Node(index, input));
+            return;
+        }
+        let outputs = node.take(self.now, input);
+        self.check(index);
+        for output in outputs {
+            self.perform(index, output);
+        }
+        self.queue_tick(index);
+    }
+
+    fn perform(&mut self, index: usize, output: NodeOutput) {
+        let from = Machine::Slot(self.nodes[index].slot);
+        match output {
+            NodeOutput::Send { to, input } => {
+                self.outcome.messages += 1;
+                let to = index_of(&to);
+                let machine = Machine::Slot(self.nodes[to].slot);
+                self.send(from, machine, WorldEvent::Node(to, input));
+            }
+            NodeOutput::Vote { target } => {
+                let voter = self.nodes[index].id.clone();
+                let input = ControllerInput::Vote {
+                    from: voter,
+                    target,
+                };
+                self.tell_controllers(from, &input);
+            }
+            NodeOutput::ReadOwn { sent } => {
+                self.send(from, Machine::Store, WorldEvent::ReadOwn(index, sent));
+            }
+            NodeOutput::Write(write) => self.send_write(from, write),
+            NodeOutput::Exit => self.exit(index),
+        }
+    }
+
+    /// Ends a process whose incarnation is over; after a verdict it starts again as a new one.
+    fn exit(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.runs = false;
+        let slot = node.slot;
+        if self.store.record(index).record.state == MemberState::Dead {
+            let at = self.now + REJOIN_MS;
+            self.queue.push(at, WorldEvent::Start(slot));
+        }
+    }
+
+    pub(super) fn tell_controllers(&mut self, from: Machine, input: &ControllerInput) {
+        for controller in 0..self.controllers.len() {
+            let event = WorldEvent::Controller(controller, input.clone());
+            self.send(from, Machine::Controller(controller), event);
+        }
+    }
+
+    pub(super) fn give_controller(&mut self, index: usize, input: ControllerInput) {
+        let controller = &mut self.controllers[index];
+        if self.now < controller.frozen_until {
+            let at = controller.frozen_until + self.rng.random_range(0..3);
+            self.queue.push(at, WorldEvent::Controller(index, input));
+            return;
+        }
+        let writes = controller.take(self.now, input, &mut self.rng);
+        for write in writes {
+            self.send_write(Machine::Controller(index), write);
+        }
+    }
+
+    fn tick_controller(&mut self, index: usize) {
+        self.give_controller(index, ControllerInput::Tick);
+        let frozen = self.controllers[index].frozen_until;
+        let at = frozen.max(self.now) + CONTROLLER_TICK_MS;
+        self.queue.push(at, WorldEvent::ControllerTick(index));
+    }
+
+    fn send_write(&mut self, from: Machine, write: StoreWrite) {
+        self.send(from, Machine::Store, WorldEvent::Write(write));
+    }
+
+    /// Sends a message through the network.
+    fn send(&mut self, from: Machine, to: Machine, event: WorldEvent) {
+        let is_cut = |cut: &CutSpan| {
+            let in_force = cut.begin <= self.now && self.now < cut.end;
+            in_force && cut.from.contains(from) && cut.to.contains(to)
+        };
+        if self.cuts.iter().any(is_cut) {
+            return;
+        }
+        let delay = self.profile().draw(&mut self.rng);
+        if let Some(delay) = delay {
+            self.queue.push(self.now + delay, event);
+        }
+    }
+
+    fn profile(&self) -> NetworkProfile {
+        if self.now < self.settings.rough_until {
+            self.settings.network
+        } else {
+            NetworkProfile::calm()
+        }
+    }
+
+    fn is_store_down(&self) -> bool {
+        self.now < self.store_down_until
+    }
+
+    /// Makes a write take effect and spreads the record. Writers learn of it from the record alone,
+    /// as if every answer were lost.
+    fn write(&mut self, write: StoreWrite) {
+        if self.is_store_down() {
+            return;
+        }
+        let index = index_of(&write.record.id);
+        let before = self.store.record(index).record.clone();
+        let Some(stored) = self.store.apply(write).cloned() else {
+            return;
+        };
+        let is_promotion = before.next_monitors.is_some()
+            && stored.record.next_monitors.is_none()
+            && !stored.record.state.is_over();
+        self.outcome.promotions += u64::from(is_promotion);
+        if stored.record.state.is_over() && self.verdict_at[index].is_none() {
+            self.verdict_at[index] = Some(self.now);
+            if stored.record.state == MemberState::Dead {
+                self.count_verdict(index);
+            }
+            self.check(index);
+        }
+        self.spread(&stored);
+    }
+
+    fn read_own(&mut self, index: usize, sent: Millis) {
+        let stored = self.store.record(index).clone();
+        if self.is_store_down() || stored.revision == 0 {
+            return;
+        }
+        let to = Machine::Slot(self.nodes[index].slot);
+        let input = NodeInput::OwnRead { sent, stored };
+        self.send(Machine::Store, to, WorldEvent::Node(index, input));
+    }
+
+    /// Brings a record to everybody, after delays but without loss.
+    fn spread(&mut self, stored: &StoredRecord) {
+        for index in 0..self.nodes.len() {
+            self.spread_to_node(index, stored.clone());
+        }
+        for controller in 0..self.controllers.len() {
+            let delay = self.spread_delay();
+            let input = ControllerInput::Record(stored.clone());
+            let event = WorldEvent::Controller(controller, input);
+            self.queue.push(self.now + delay, event);
+        }
+    }
+
+    fn spread_to_node(&mut self, index: usize, stored: StoredRecord) {
+        if self.nodes[index].runs && stored.revision > 0 {
+            let delay = self.spread_delay();
+            let event = WorldEvent::Node(index, NodeInput::Record(stored));
+            self.queue.push(self.now + delay, event);
+        }
+    }
+
+    fn spread_delay(&mut self) -> u64 {
+        let profile = self.profile();
+        profile.draw(&mut self.rng).unwrap_or(profile.slow_ms)
+    }
+
+    fn finish(mut self) -> CheckOutcome {
+        let is_missed = |index: &usize| {
+            let stored = self.store.record(*index);
+            let is_open = stored.revision > 0 && !stored.record.state.is_over();
+            self.killed_at[*index].is_some() && is_open
+        };
+        self.outcome.missed = (0..self.nodes.len()).filter(is_missed).count() as u64;
+        self.outcome.unsafe_schedules = u64::from(self.is_unsafe);
+        self.outcome
+    }
+}
