--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod fleet;
 pub mod journal_check;
+pub mod lease;
 pub mod load;
 pub mod node;
 pub mod plan;
