--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -54,7 +54,7 @@
             window_bytes: 8 * 1024 * 1024,
             dispatch_margin_ms: 250,
             clock_error_ms: 1_000,
-            plain_id_ms: 60_000,
+            plain_id_ms: 30_000,
             ramp_start: 1,
             ramp_answers: 16,
         }
@@ -167,6 +167,8 @@
     },
     /// News of the backend server.
     Backend(BackendNotice),
+    /// The limits of the service changed.
+    Settings(GateSettings),
     /// The agent's wall clock, to be told at the start and every few seconds. Until the first one
     /// times inside ids of requests count for nothing.
     Clock {
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -67,11 +67,7 @@
     /// Makes a gate that owns nothing and knows of no backend server.
     #[must_use]
     pub fn new(settings: GateSettings) -> Self {
-        let bounds = WindowBounds {
-            age_ms: settings.window_ms,
-            entries: settings.window_entries as usize,
-            bytes: settings.window_bytes,
-        };
+        let bounds = window_bounds(&settings);
         let ramp = ConcurrencyRamp::new(settings.slots, settings.ramp_start, settings.ramp_answers);
         Self {
             settings,
@@ -101,6 +97,7 @@
             GateEvent::Grants(grants) => self.replace_grants(now, grants, &mut actions),
             GateEvent::Handover { entries, .. } => self.window.take_over(now, entries),
             GateEvent::Backend(notice) => self.backend_changed(&notice, &mut actions),
+            GateEvent::Settings(settings) => self.configure(settings),
             GateEvent::Clock { wall } => self.wall = Some((now, wall)),
             GateEvent::Drain => self.draining = true,
             GateEvent::Tick => {}
@@ -111,6 +108,12 @@
         (self, actions)
     }
 
+    /// The limits in force.
+    #[must_use]
+    pub const fn settings(&self) -> &GateSettings {
+        &self.settings
+    }
+
     /// Requests in flight at the backend server.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
@@ -149,7 +152,7 @@
             .running
             .values()
             .any(|running| owned(running) && !running.cancelled);
-        let waits = !self.queue.is_empty();
+        let waits = self.queue.any(|arrival| arrival.unit.is_some());
         let lease = (cancels || waits).then_some(self.lease);
         let deadline = self.queue.first_deadline();
         let serve = waits.then(|| self.ledger.next_serve()).flatten();
@@ -160,6 +163,14 @@
             .unwrap_or(Millis::MAX)
     }
 
+    /// Takes new limits.
+    fn configure(&mut self, settings: GateSettings) {
+        self.ramp
+            .configure(settings.slots, settings.ramp_start, settings.ramp_answers);
+        self.window.configure(window_bounds(&settings));
+        self.settings = settings;
+    }
+
     /// Replaces the grants: what runs or waits of units that are gone is stopped.
     fn replace_grants(
         &mut self,
@@ -256,6 +267,15 @@
     }
 }
 
+/// Returns the bounds of the window.
+const fn window_bounds(settings: &GateSettings) -> WindowBounds {
+    WindowBounds {
+        age_ms: settings.window_ms,
+        entries: settings.window_entries as usize,
+        bytes: settings.window_bytes,
+    }
+}
+
 /// Returns the id under which a request is remembered.
 pub(crate) fn window_id(arrival: &Arrival) -> Option<&jy_types::name::Name> {
     let id = arrival.idempotency_key.as_ref()?;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod queue;
 pub mod ramp;
 pub mod refusals;
+pub mod replay;
 pub mod request_id;
 pub mod serve;
+mod tally;
 pub mod window;
--- a/crates/gate/src/queue.rs
+++ b/crates/gate/src/queue.rs
@@ -36,6 +36,11 @@
         self.waiting.is_empty()
     }
 
+    /// Whether a waiting request matches.
+    pub fn any(&self, matches: impl Fn(&Arrival) -> bool) -> bool {
+        self.waiting.values().any(matches)
+    }
+
     /// Adds a request.
     pub fn push(&mut self, arrival: Arrival) {
         let rank = (arrival.urgency, arrival.deadline, arrival.ticket);
--- a/crates/gate/src/ramp.rs
+++ b/crates/gate/src/ramp.rs
@@ -17,7 +17,10 @@
 pub struct ConcurrencyRamp {
     start: u32,
     step_answers: u32,
+    /// Slots as configured.
     slots: u32,
+    /// Slots as announced.
+    announced_slots: u32,
     limit: u32,
     step_count: u32,
     epoch: u64,
@@ -35,6 +38,7 @@
             start,
             step_answers,
             slots,
+            announced_slots: u32::MAX,
             limit: start,
             step_count: 0,
             epoch: 0,
@@ -48,7 +52,19 @@
     /// Requests that may be in flight at once.
     #[must_use]
     pub fn limit(&self) -> u32 {
-        self.limit.min(self.slots).max(1)
+        self.limit.min(self.most()).max(1)
+    }
+
+    /// Sets other limits.
+    pub const fn configure(&mut self, slots: u32, start: u32, step_answers: u32) {
+        self.slots = slots;
+        self.start = start;
+        self.step_answers = step_answers;
+    }
+
+    /// Requests that may be in flight at once when warm.
+    fn most(&self) -> u32 {
+        self.slots.min(self.announced_slots)
     }
 
     /// Number of the current start: only answers to requests sent since it began count.
@@ -59,7 +75,7 @@
 
     /// Takes an announcement: a new process is cold, and so is one that says so anew.
     pub fn announced(&mut self, start_stamp: u64, slots: u32, cold: bool) {
-        self.slots = slots.max(1);
+        self.announced_slots = slots;
         let is_new = self.start_stamp != Some(start_stamp);
         if is_new || (cold && !self.said_cold) {
             self.restart();
@@ -89,7 +105,7 @@
         }
         self.answers += 1;
         self.slowest_ms = self.slowest_ms.max(service_ms);
-        if self.limit >= self.slots {
+        if self.limit >= self.most() {
             return;
         }
         self.step_count += 1;
--- a/crates/gate/src/window.rs
+++ b/crates/gate/src/window.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Sets other bounds; they count from the next entry on.
+    pub const fn configure(&mut self, bounds: WindowBounds) {
+        self.bounds = bounds;
+    }
+
     /// Number of ids that are remembered.
     #[must_use]
     pub fn len(&self) -> usize {
