gate: hold a unit while a broken request may still run

Cause: a request whose connection broke counted as ended, so its unit was released while the backend server could still run it; the next owner could then run beside it. Ruled out: asking the backend server whether it runs (its answers lag); a fixed wait. Change: the unit stays busy until the deadline of the dispatch, which the lease bounds. Conclusion: a planned move waits at most the rest of the lease, only after a broken request.

--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -55,6 +55,8 @@
     pub(crate) running: BTreeMap<u64, RunningRequest>,
     /// Waiting and running requests by unit.
     pub(crate) open: BTreeMap<Unit, u32>,
+    /// Requests without an answer that may run on until their deadline, with their units.
+    pub(crate) lingering: BTreeMap<(Millis, u64), Unit>,
     /// Moving mean of the time that the backend server takes, in milliseconds.
     pub(crate) mean_ms: f64,
     pub(crate) backend: BackendState,
@@ -78,6 +80,7 @@
             ramp,
             running: BTreeMap::new(),
             open: BTreeMap::new(),
+            lingering: BTreeMap::new(),
             mean_ms: 0.0,
             backend: BackendState::Absent,
             draining: false,
@@ -156,7 +159,9 @@
         let lease = (cancels || waits).then_some(self.lease);
         let deadline = self.queue.first_deadline();
         let serve = waits.then(|| self.ledger.next_serve()).flatten();
-        [lease, deadline, serve]
+        let lingering = self.lingering.first_key_value();
+        let linger = lingering.map(|((until, _), _)| *until);
+        [lease, deadline, serve, linger]
             .into_iter()
             .flatten()
             .min()
@@ -227,16 +232,16 @@
         actions: &mut Vec<GateAction>,
     ) {
         for arrival in waiting {
-            self.close(&arrival);
+            self.close(arrival.unit);
             self.withdraw(&arrival);
             let (ticket, refusal) = (arrival.ticket, refusal());
             actions.push(GateAction::Refuse { ticket, refusal });
         }
     }
 
-    /// Counts a request as done with.
-    pub(crate) fn close(&mut self, arrival: &Arrival) {
-        let Some(unit) = arrival.unit else {
+    /// Counts a request of a unit as done with.
+    pub(crate) fn close(&mut self, unit: Option<Unit>) {
+        let Some(unit) = unit else {
             return;
         };
         if let Some(open) = self.open.get_mut(&unit) {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -76,7 +76,11 @@
         let Some(running) = self.running.remove(&ticket) else {
             return;
         };
-        self.close(&running.arrival);
+        if end == DispatchEnd::Unknown && now < running.deadline {
+            self.linger(&running);
+        } else {
+            self.close(running.arrival.unit);
+        }
         let refusal = match end {
             DispatchEnd::Answered { shed: true, .. } => {
                 self.ramp.shed();
@@ -102,6 +106,14 @@
         }
     }
 
+    /// Keeps a unit busy until a request without an answer must have been stopped.
+    fn linger(&mut self, running: &RunningRequest) {
+        if let Some(unit) = running.arrival.unit {
+            let key = (running.deadline, running.arrival.ticket);
+            self.lingering.insert(key, unit);
+        }
+    }
+
     /// Takes a request without a whole answer. One that broke before its deadline tells that the
     /// backend server may have restarted.
     fn lost(&mut self, now: Millis, running: &RunningRequest) -> Refusal {
@@ -126,7 +138,7 @@
     /// answer is kept.
     pub(crate) fn caller_gone(&mut self, ticket: u64, actions: &mut Vec<GateAction>) {
         if let Some(arrival) = self.queue.remove(ticket) {
-            self.close(&arrival);
+            self.close(arrival.unit);
             self.withdraw(&arrival);
             return;
         }
@@ -142,6 +154,14 @@
     /// Refuses what waited past its deadline, and stops everything owned when the lease lapses.
     pub(crate) fn expire(&mut self, now: Millis, actions: &mut Vec<GateAction>) {
         self.ledger.pass(now);
+        while let Some(((until, _), unit)) = self.lingering.first_key_value() {
+            if *until > now {
+                break;
+            }
+            let unit = *unit;
+            self.lingering.pop_first();
+            self.close(Some(unit));
+        }
         if now >= self.lease && !self.open.is_empty() {
             let waiting = self.queue.take_matching(|arrival| arrival.unit.is_some());
             self.refuse_waiting(waiting, refusals::lease_lapsed, actions);
