route: replay traces with stated outcomes

Cause: the router's rules had unit tests only. Ruled out: views in a trace (not serialisable); records take their place. Conclusion: a gateway without an owner costs 4 pulls a second at most.

--- a/crates/route/src/core.rs
+++ b/crates/route/src/core.rs
@@ -29,6 +29,9 @@
 use crate::pick::LoadTable;
 use crate::refusals;
 
+/// Shortest time between two pulls of records, in milliseconds.
+const PULL_EVERY_MS: u64 = 250;
+
 /// State of a gateway's routing.
 #[derive(Clone, Debug)]
 pub struct RouteState {
@@ -180,7 +183,7 @@
         open.tried.clear();
         open.wake = now.plus(wait_ms).min(open.request.deadline);
         if now >= self.next_pull {
-            self.next_pull = now.plus(wait_ms);
+            self.next_pull = now.plus(PULL_EVERY_MS);
             actions.push(RouteAction::Pull);
         }
     }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod owner;
 pub mod pick;
 pub mod refusals;
+pub mod replay;
