--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -102,6 +102,7 @@
             GateEvent::Backend(notice) => self.backend_changed(&notice, &mut actions),
             GateEvent::Settings(settings) => self.configure(settings),
             GateEvent::Clock { wall } => self.wall = Some((now, wall)),
+            GateEvent::Settings(settings) => self.settings = settings,
             GateEvent::Drain => self.draining = true,
             GateEvent::Tick => {}
         }
