gate: ramp by answers and time, doubt settled by the next announcement

Ruled out: trust in the announced flag alone (a new process may not say that it is cold); no ramp after a broken connection (it is the first sign of an unannounced restart). The agent tells its wall clock.

--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -378,6 +378,8 @@
     /// Takes the end of the agent's lease.
     pub fn on_lease(self: &Rc<Self>, until: Millis) {
         if self.lease_until.replace(until) != until {
+            let wall = clock::wall_now();
+            self.step(GateEvent::Clock { wall });
             self.step(GateEvent::Lease { until });
         }
     }
--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -41,6 +41,8 @@
     pub ramp_start: u32,
     /// Completed answers after which a backend server in cold start is given one more at once.
     pub ramp_answers: u32,
+    /// Least time before a backend server in cold start is given one more at once, in milliseconds.
+    pub ramp_step_ms: u64,
 }
 
 impl Default for GateSettings {
@@ -57,6 +59,7 @@
             plain_id_ms: 30_000,
             ramp_start: 1,
             ramp_answers: 16,
+            ramp_step_ms: 1_000,
         }
     }
 }
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -17,6 +17,7 @@
 use crate::grants::GrantLedger;
 use crate::queue::WaitQueue;
 use crate::ramp::ConcurrencyRamp;
+use crate::ramp::RampPace;
 use crate::refusals;
 use crate::window::RequestWindow;
 use crate::window::WindowBounds;
@@ -70,7 +71,7 @@
     #[must_use]
     pub fn new(settings: GateSettings) -> Self {
         let bounds = window_bounds(&settings);
-        let ramp = ConcurrencyRamp::new(settings.slots, settings.ramp_start, settings.ramp_answers);
+        let ramp = ConcurrencyRamp::new(ramp_pace(&settings));
         Self {
             settings,
             lease: Millis::default(),
@@ -99,10 +100,9 @@
             GateEvent::Lease { until } => self.lease = until,
             GateEvent::Grants(grants) => self.replace_grants(now, grants, &mut actions),
             GateEvent::Handover { entries, .. } => self.window.take_over(now, entries),
-            GateEvent::Backend(notice) => self.backend_changed(&notice, &mut actions),
+            GateEvent::Backend(notice) => self.backend_changed(now, &notice, &mut actions),
             GateEvent::Settings(settings) => self.configure(settings),
             GateEvent::Clock { wall } => self.wall = Some((now, wall)),
-            GateEvent::Settings(settings) => self.settings = settings,
             GateEvent::Drain => self.draining = true,
             GateEvent::Tick => {}
         }
@@ -171,8 +171,7 @@
 
     /// Takes new limits.
     fn configure(&mut self, settings: GateSettings) {
-        self.ramp
-            .configure(settings.slots, settings.ramp_start, settings.ramp_answers);
+        self.ramp.configure(ramp_pace(&settings));
         self.window.configure(window_bounds(&settings));
         self.settings = settings;
     }
@@ -201,7 +200,12 @@
     }
 
     /// Takes news of the backend server.
-    fn backend_changed(&mut self, notice: &BackendNotice, actions: &mut Vec<GateAction>) {
+    fn backend_changed(
+        &mut self,
+        now: Millis,
+        notice: &BackendNotice,
+        actions: &mut Vec<GateAction>,
+    ) {
         match *notice {
             BackendNotice::Announced {
                 start_stamp,
@@ -209,7 +213,7 @@
                 cold,
                 draining,
             } => {
-                self.ramp.announced(start_stamp, slots, cold);
+                self.ramp.announced(now, start_stamp, slots, cold);
                 self.backend = if draining {
                     BackendState::Draining
                 } else {
@@ -217,7 +221,7 @@
                 };
             }
             BackendNotice::Gone => {
-                self.ramp.restart();
+                self.ramp.doubt(now);
                 self.backend = BackendState::Absent;
                 let waiting = self.queue.take_matching(|_| true);
                 self.refuse_waiting(waiting, refusals::no_backend, actions);
@@ -273,6 +277,16 @@
     }
 }
 
+/// Returns the pace of a cold start.
+const fn ramp_pace(settings: &GateSettings) -> RampPace {
+    RampPace {
+        slots: settings.slots,
+        start: settings.ramp_start,
+        step_answers: settings.ramp_answers,
+        step_ms: settings.ramp_step_ms,
+    }
+}
+
 /// Returns the bounds of the window.
 const fn window_bounds(settings: &GateSettings) -> WindowBounds {
     WindowBounds {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -83,7 +83,7 @@
         }
         let refusal = match end {
             DispatchEnd::Answered { shed: true, .. } => {
-                self.ramp.shed();
+                self.ramp.shed(now);
                 self.withdraw(&running.arrival);
                 Some(refusals::shed())
             }
@@ -95,7 +95,7 @@
                 None
             }
             DispatchEnd::NotSent => {
-                self.ramp.restart();
+                self.ramp.doubt(now);
                 self.withdraw(&running.arrival);
                 Some(refusals::no_backend())
             }
@@ -119,7 +119,7 @@
     fn lost(&mut self, now: Millis, running: &RunningRequest) -> Refusal {
         let is_break = now < running.deadline && !running.cancelled;
         if is_break && running.epoch == self.ramp.epoch() {
-            self.ramp.restart();
+            self.ramp.doubt(now);
         }
         if let Some(id) = window_id(&running.arrival) {
             self.window.finish(now, id, None);
@@ -130,7 +130,7 @@
     /// Learns from the time of an answer.
     fn observe(&mut self, now: Millis, running: &RunningRequest) {
         let service_ms = now.since(running.sent);
-        self.ramp.answered(running.epoch, service_ms);
+        self.ramp.answered(now, running.epoch, service_ms);
         self.mean_ms += (service_ms as f64 - self.mean_ms) * MEAN_WEIGHT;
     }
 
