bench: policy trials in virtual time, and a recorded cold start

Cause: nothing measured tail, overload, cold start and retries. Ruled out: a cluster simulator; the model is callers, the real decisions and backend servers of slots and warmth, in one event queue.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Result;
 use jy_bench::demo;
+use jy_bench::policy;
 use jy_bench::report;
 
 /// One subcommand: its name, one line of help, and what it runs with the arguments after it.
@@ -14,11 +15,18 @@
 }
 
 /// All subcommands.
-const COMMANDS: &[BenchCommand] = &[BenchCommand {
-    name: "demo",
-    help: "both deployments as processes: load, an owner lost, an agent that leaves",
-    run: demo::run,
-}];
+const COMMANDS: &[BenchCommand] = &[
+    BenchCommand {
+        name: "demo",
+        help: "both deployments as processes: load, an owner lost, an agent that leaves",
+        run: demo::run,
+    },
+    BenchCommand {
+        name: "policy",
+        help: "tail, overload, cold start and retries in virtual time, beside a baseline",
+        run: policy::run,
+    },
+];
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
--- /dev/null
+++ b/crates/bench/src/policy.rs
@@ -0,0 +1,382 @@
+//! `jybench policy`: tail, overload, cold start and retries in virtual time, the product beside a
+//! plain baseline (round robin, three attempts, no limits), and the cost of a step.
+
+use std::fs;
+
+use anyhow::Context;
+use anyhow::Result;
+use hdrhistogram::Histogram;
+use jy_types::time::Millis;
+use jy_types::workspace::Urgency;
+use serde_json::json;
+
+use crate::args;
+use crate::policy_backend::WarmthModel;
+use crate::policy_cost;
+use crate::policy_model::CallerOutcome;
+use crate::policy_model::CallerRequest;
+use crate::policy_model::PolicyModel;
+use crate::policy_scenario::MEASURE_FROM;
+use crate::policy_scenario::PolicyScenario;
+use crate::policy_scenario::RestartKind;
+use crate::report::FigureRow;
+use crate::report::FigureTable;
+
+/// Length of the overload, in milliseconds.
+const OVERLOAD_MS: u64 = 10_000;
+
+/// A caller is served well again once it waits no longer than this, in milliseconds.
+const WELL_SERVED_MS: u64 = 50;
+
+/// When one endpoint restarts, and all of them a little apart, after the warm-up.
+const ONE_RESTART: &[(u64, usize)] = &[(5_000, 0)];
+const THREE_RESTARTS: &[(u64, usize)] = &[(5_000, 0), (5_050, 1), (5_100, 2)];
+
+/// A cold start, by name, kind, restarts and warmth.
+type ColdCase = (
+    &'static str,
+    RestartKind,
+    &'static [(u64, usize)],
+    WarmthModel,
+);
+
+/// Runs all trials.
+///
+/// # Errors
+///
+/// If the arguments are not understood.
+pub fn run(arguments: &[String]) -> Result<FigureTable> {
+    let args = args::parse(arguments, 1)?;
+    if let Some(path) = args.names.first() {
+        return record_cold_start(path, args.seed);
+    }
+    let title = format!("policy in virtual time, seed {}", args.seed);
+    let mut table = FigureTable::new(title, args.out);
+    tail(args.seed, &mut table.rows);
+    overload(args.seed, &mut table.rows);
+    cold_starts(args.seed, &mut table.rows);
+    policy_cost::rows(args.seed, &mut table.rows);
+    Ok(table)
+}
+
+/// Writes the events of one gate in a cold start as a trace.
+///
+/// # Errors
+///
+/// If the file can't be written.
+fn record_cold_start(path: &str, seed: u64) -> Result<FigureTable> {
+    let scenario = PolicyScenario::recorded_cold_start();
+    let settings = json!({"auto_ticks": false, "cold_answers": 10, "keyed": false,
+        "slots": scenario.slots, "ramp_step_ms": scenario.ramp_step_ms});
+    let model = PolicyModel::run(scenario, seed);
+    let header = json!({"area": "gate", "seed": seed, "settings": settings});
+    let mut text = format!("{header}\n");
+    for (at, event) in &model.recorded {
+        let line = json!({"at": at, "event": event});
+        text.push_str(&format!("{line}\n"));
+    }
+    fs::write(path, text).with_context(|| format!("could not write {path}"))?;
+    let title = format!("cold start of one gate, seed {seed}");
+    let mut table = FigureTable::new(title, None);
+    let events = model.recorded.len() as f64;
+    table.rows.push(FigureRow::new("events", events, "events"));
+    Ok(table)
+}
+
+/// Requests that came while it was measured.
+fn measured(model: &PolicyModel) -> impl Iterator<Item = &CallerRequest> {
+    model
+        .requests
+        .iter()
+        .filter(|request| request.arrived >= MEASURE_FROM)
+}
+
+/// How long a request was served for, if it was answered in time.
+fn served_ms(request: &CallerRequest) -> Option<u64> {
+    let (at, outcome) = request.end?;
+    let in_time = outcome == CallerOutcome::Answered && at <= request.deadline;
+    in_time.then(|| at.since(request.arrived))
+}
+
+/// The time that 99 in 100 requests stay within; one not served counts as its whole timeout.
+///
+/// # Panics
+///
+/// Never: the histogram accepts three digits.
+fn p99_ms(model: &PolicyModel) -> f64 {
+    let mut times = Histogram::<u64>::new(3).expect("three digits are accepted");
+    for request in measured(model) {
+        let whole = request.deadline.since(request.arrived);
+        times.saturating_record(served_ms(request).unwrap_or(whole));
+    }
+    times.value_at_quantile(0.99) as f64
+}
+
+/// Share of measured requests that match, in percent.
+fn share(
+    model: &PolicyModel,
+    of: impl Fn(&CallerRequest) -> bool,
+    matches: impl Fn(&CallerRequest) -> bool,
+) -> f64 {
+    let all = measured(model).filter(|request| of(request));
+    let found = measured(model).filter(|request| of(request) && matches(request));
+    100.0 * found.count() as f64 / all.count().max(1) as f64
+}
+
+/// Sends beyond one a request, in percent of requests.
+fn extra_sends(model: &PolicyModel) -> f64 {
+    let sends: u32 = measured(model).map(|request| request.sends).sum();
+    let requests = measured(model).count().max(1) as f64;
+    100.0 * (f64::from(sends) / requests - 1.0)
+}
+
+/// Non-idempotent requests that ran twice.
+fn double_runs(model: &PolicyModel) -> f64 {
+    let doubled = |request: &&CallerRequest| !request.idempotent && request.runs > 1;
+    model.requests.iter().filter(doubled).count() as f64
+}
+
+/// Requests refused as not run behind which there was a run.
+fn false_not_run(model: &PolicyModel) -> f64 {
+    let is_false = |request: &&CallerRequest| {
+        let not_run = matches!(
+            request.end,
+            Some((
+                _,
+                CallerOutcome::Refused(_, jy_types::request::RunState::No)
+            ))
+        );
+        not_run && request.runs > 0
+    };
+    model.requests.iter().filter(is_false).count() as f64
+}
+
+/// One of three endpoints runs ten times slower for half a second of every two.
+fn tail(seed: u64, rows: &mut Vec<FigureRow>) {
+    let calm = PolicyScenario::new(1_500.0);
+    let bursts = |now: Millis, number| {
+        if number == 0 && now.0 % 2_000 < 500 {
+            10.0
+        } else {
+            1.0
+        }
+    };
+    let slow = calm.clone().with_slowness(bursts);
+    for (name, is_policy) in [("policy", true), ("baseline", false)] {
+        let pick = |scenario: &PolicyScenario| {
+            if is_policy {
+                scenario.clone()
+            } else {
+                scenario.clone().with_baseline()
+            }
+        };
+        let without = PolicyModel::run(pick(&calm), seed);
+        let with = PolicyModel::run(pick(&slow), seed);
+        let (p99_without, p99_with) = (p99_ms(&without), p99_ms(&with));
+        let ratio = p99_with / p99_without;
+        let ratio_row = FigureRow::new(format!("tail: {name}: p99 with over without"), ratio, "x");
+        let extra = extra_sends(&with).max(extra_sends(&without));
+        let extra_row = FigureRow::new(format!("tail: {name}: extra sends"), extra, "%");
+        let runs_row = FigureRow::new(
+            format!("tail: {name}: double runs"),
+            double_runs(&with),
+            "runs",
+        );
+        rows.push(FigureRow::new(
+            format!("tail: {name}: p99 without straggler"),
+            p99_without,
+            "ms",
+        ));
+        rows.push(FigureRow::new(
+            format!("tail: {name}: p99 with straggler"),
+            p99_with,
+            "ms",
+        ));
+        if is_policy {
+            rows.push(ratio_row.with_at_most(1.5));
+            rows.push(extra_row.with_at_most(5.0));
+            rows.push(runs_row.with_at_most(0.0));
+        } else {
+            rows.extend([ratio_row, extra_row, runs_row]);
+        }
+    }
+}
+
+/// Three times the capacity for ten seconds, then 0.3 times.
+fn overload(seed: u64, rows: &mut Vec<FigureRow>) {
+    let scenario = PolicyScenario::new(0.0);
+    let capacity = scenario.capacity();
+    let drop_at = MEASURE_FROM.plus(OVERLOAD_MS);
+    let scenario = scenario
+        .with_rate(move |now| {
+            if now < drop_at {
+                3.0 * capacity
+            } else {
+                0.3 * capacity
+            }
+        })
+        .with_length(OVERLOAD_MS + 20_000);
+    for (name, is_policy) in [("policy", true), ("baseline", false)] {
+        let picked = if is_policy {
+            scenario.clone()
+        } else {
+            scenario.clone().with_baseline()
+        };
+        let model = PolicyModel::run(picked, seed);
+        overload_rows(name, is_policy, capacity, drop_at, &model, rows);
+    }
+}
+
+/// Figures of an overload.
+fn overload_rows(
+    name: &str,
+    is_policy: bool,
+    capacity: f64,
+    drop_at: Millis,
+    model: &PolicyModel,
+    rows: &mut Vec<FigureRow>,
+) {
+    let during = |request: &CallerRequest| request.arrived < drop_at;
+    let served = |request: &CallerRequest| served_ms(request).is_some();
+    let useful = measured(model).filter(|request| during(request) && served(request));
+    let goodput = 100.0 * useful.count() as f64 / (capacity * OVERLOAD_MS as f64 / 1_000.0);
+    let class = |urgency| {
+        share(
+            model,
+            |request| during(request) && request.urgency == urgency,
+            served,
+        )
+    };
+    let late_refusal = |request: &CallerRequest| {
+        let refused = request
+            .end
+            .filter(|(_, outcome)| *outcome != CallerOutcome::Answered);
+        refused.is_some_and(|(at, _)| at >= request.deadline)
+    };
+    let badly = |request: &&CallerRequest| {
+        request.arrived >= drop_at && served_ms(request).is_none_or(|took| took > WELL_SERVED_MS)
+    };
+    let last_bad = measured(model)
+        .filter(badly)
+        .map(|request| request.arrived)
+        .max();
+    let recovery = last_bad.map_or(0, |last| last.since(drop_at)) as f64 / 1_000.0;
+    let row =
+        |what: &str, value, unit| FigureRow::new(format!("overload: {name}: {what}"), value, unit);
+    let useful_row = row("useful work of capacity", goodput, "%");
+    let urgent_row = row("urgent requests served", class(Urgency::Urgent), "%");
+    let normal_row = row("normal requests served", class(Urgency::Normal), "%");
+    let last_row = row(
+        "deferrable requests served",
+        class(Urgency::Deferrable),
+        "%",
+    );
+    let late_row = row(
+        "refused at the deadline or later",
+        share(model, during, late_refusal),
+        "%",
+    );
+    let extra_row = row("extra sends", extra_sends(model), "%");
+    let recovery_row = row("recovery after the drop", recovery, "s");
+    let false_row = row(
+        "not run with a run behind it",
+        false_not_run(model),
+        "requests",
+    );
+    if is_policy {
+        rows.push(useful_row.with_at_least(90.0));
+        rows.push(urgent_row.with_at_least(99.0));
+        rows.extend([normal_row, last_row, late_row]);
+        rows.push(extra_row.with_at_most(20.0));
+        rows.push(recovery_row.with_at_most(5.0));
+        rows.push(false_row.with_at_most(0.0));
+    } else {
+        rows.extend([useful_row, urgent_row, normal_row, last_row, late_row]);
+        rows.extend([extra_row, recovery_row, false_row]);
+    }
+}
+
+/// Restarts at 0.6 times the capacity.
+fn cold_starts(seed: u64, rows: &mut Vec<FigureRow>) {
+    let by_answers = WarmthModel::ByAnswers(10);
+    let by_time = WarmthModel::ByTime(2_000);
+    let cases: [ColdCase; 5] = [
+        ("announced", RestartKind::Announced, ONE_RESTART, by_answers),
+        (
+            "unannounced",
+            RestartKind::Unannounced,
+            ONE_RESTART,
+            by_answers,
+        ),
+        (
+            "unannounced, by time",
+            RestartKind::Unannounced,
+            ONE_RESTART,
+            by_time,
+        ),
+        (
+            "three at once",
+            RestartKind::Unannounced,
+            THREE_RESTARTS,
+            by_answers,
+        ),
+        ("silent", RestartKind::Silent, ONE_RESTART, by_answers),
+    ];
+    for (name, kind, restarts, warmth) in cases {
+        let scenario = PolicyScenario::new(1_800.0)
+            .with_restarts(kind, restarts)
+            .with_warmth(warmth)
+            .with_length(20_000);
+        let policy = PolicyModel::run(scenario.clone(), seed);
+        let baseline = PolicyModel::run(scenario.with_baseline(), seed);
+        cold_rows(name, kind, &policy, &baseline, rows);
+    }
+}
+
+/// Figures of a cold start.
+fn cold_rows(
+    name: &str,
+    kind: RestartKind,
+    policy: &PolicyModel,
+    baseline: &PolicyModel,
+    rows: &mut Vec<FigureRow>,
+) {
+    let overruns = |model: &PolicyModel| {
+        let each = model.backends.iter().map(|backend| backend.overruns);
+        each.sum::<u64>() as f64
+    };
+    let row = |what: &str, value, unit| {
+        FigureRow::new(format!("cold start: {name}: {what}"), value, unit)
+    };
+    let served =
+        |model: &PolicyModel| share(model, |_| true, |request| served_ms(request).is_some());
+    let first = MEASURE_FROM.plus(ONE_RESTART[0].0);
+    let warm = policy.warm_again.iter().flatten().max();
+    let warm_s = warm.map_or(f64::NAN, |at| at.since(first) as f64 / 1_000.0);
+    let overrun_row = row(
+        "policy: requests past what is borne",
+        overruns(policy),
+        "requests",
+    );
+    let warm_row = row("policy: all slots used again after", warm_s, "s");
+    rows.push(overrun_row.with_at_most(0.0));
+    if kind != RestartKind::Silent {
+        rows.push(warm_row.with_at_most(8.0));
+    }
+    rows.push(row(
+        "baseline: requests past what is borne",
+        overruns(baseline),
+        "requests",
+    ));
+    rows.push(row("policy: served in time", served(policy), "%"));
+    rows.push(row("baseline: served in time", served(baseline), "%"));
+    rows.push(row("policy: double runs", double_runs(policy), "runs").with_at_most(0.0));
+    rows.push(
+        row(
+            "policy: not run with a run behind it",
+            false_not_run(policy),
+            "requests",
+        )
+        .with_at_most(0.0),
+    );
+}
--- a/crates/gate/src/replay.rs
+++ b/crates/gate/src/replay.rs
@@ -22,7 +22,7 @@
 use crate::tally::RunTally;
 
 /// Name of the gate in a trace of a single one.
-const ONLY_GATE: &str = "gate";
+pub const ONLY_GATE: &str = "gate";
 
 /// One line of a trace.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -33,6 +33,11 @@
         /// The gate.
         killed: Name,
     },
+    /// The backend server beside a gate ended and started again, as nobody but the trace knows.
+    Restarted {
+        /// The gate.
+        restarted: Name,
+    },
     /// An event of one of several gates, with its trace's own name.
     Named {
         /// The gate.
@@ -149,6 +154,7 @@
                 self.gates.remove(&killed);
                 self.tally.killed(&killed);
             }
+            GateTraceEvent::Restarted { restarted } => self.tally.restarted(&restarted),
             GateTraceEvent::Named { gate, event } => self.step(at, &gate, event),
             GateTraceEvent::Only(event) => self.step(at, &ONLY_GATE.into(), event),
         }
--- a/crates/gate/src/tally.rs
+++ b/crates/gate/src/tally.rs
@@ -55,12 +55,23 @@
 #[derive(Debug, Default)]
 struct BackendRecord {
     stamp: Option<u64>,
+    /// Whether the new process has not announced itself.
+    is_silent: bool,
     start: u64,
     slots: u32,
     answers: u32,
     in_flight: u32,
 }
 
+impl BackendRecord {
+    /// Begins cold, with nothing in flight.
+    const fn restart(&mut self) {
+        self.start += 1;
+        self.answers = 0;
+        self.in_flight = 0;
+    }
+}
+
 /// Counts over all gates of a trace.
 #[derive(Debug)]
 pub(crate) struct RunTally {
@@ -179,14 +190,19 @@
         };
         let backend = self.backends.entry(gate.clone()).or_default();
         backend.slots = *slots;
-        if backend.stamp != Some(*start_stamp) {
-            backend.stamp = Some(*start_stamp);
-            backend.start += 1;
-            backend.answers = 0;
-            backend.in_flight = 0;
+        let is_new = backend.stamp.replace(*start_stamp) != Some(*start_stamp);
+        if is_new && !std::mem::take(&mut backend.is_silent) {
+            backend.restart();
         }
     }
 
+    /// Takes note that the backend server beside a gate started again.
+    pub(crate) fn restarted(&mut self, gate: &Name) {
+        let backend = self.backends.entry(gate.clone()).or_default();
+        backend.restart();
+        backend.is_silent = true;
+    }
+
     /// Takes an action.
     pub(crate) fn action(&mut self, at: Millis, gate: &Name, action: &GateAction) {
         match action {
--- a/crates/gate/tests/test_traces.rs
+++ b/crates/gate/tests/test_traces.rs
@@ -11,6 +11,7 @@
 
 /// Traces, with the rules whose breach their outcome must tell.
 const TRACES: &[(&str, &[&str])] = &[
+    ("cold-start", &["no_ramp"]),
     ("connection-lost", &["unknown_as_not_sent", "no_window"]),
     ("gate-killed", &["loss_as_move"]),
     ("planned-move", &["no_handover", "no_window"]),
