--- a/crates/bench/src/plan.rs
+++ b/crates/bench/src/plan.rs
@@ -165,6 +165,7 @@
         ],
         accepted: None,
         token: 1,
+        accepted: None,
     }
 }
 
@@ -183,6 +184,7 @@
         ],
         accepted: None,
         token: 2,
+        accepted: None,
     }
 }
 
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -21,12 +21,12 @@
 use crate::api::ControlSettings;
 use crate::grants::ReleaseMap;
 use crate::loads::LoadTable;
-use crate::members::FleetWatch;
 use crate::members::MemberNotes;
 use crate::members::MemberWrite;
 use crate::services::RoleTerm;
 use crate::services::ServiceNotes;
 use crate::services::ServiceStep;
+use crate::watches::FleetWatch;
 use crate::writes::WriteLedger;
 
 /// Changes are gathered this long before they are looked at, in milliseconds.
@@ -226,7 +226,7 @@
             .map(|workspace| workspace.value.clone())
             .collect();
         for workspace in workspaces {
-            for spec in workspace.services.iter().filter(|spec| spec.keyed) {
+            for spec in workspace.services.iter().filter(|spec| spec.has_owners()) {
                 let service = (workspace.name.clone(), spec.name.clone());
                 let notes = self.services.entry(service.clone()).or_default();
                 let mut step = ServiceStep {
