--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 use anyhow::Result;
 use jy_bench::demo;
 use jy_bench::lease;
+use jy_bench::policy;
 use jy_bench::report;
 
 /// One subcommand: its name, one line of help, and what it runs with the arguments after it.
@@ -26,6 +27,11 @@
         help: "random schedules of the lease protocol, and each rule broken on purpose",
         run: lease::check,
     },
+    BenchCommand {
+        name: "policy",
+        help: "tail, overload, cold start and retries in virtual time, beside a baseline",
+        run: policy::run,
+    },
 ];
 
 fn main() -> ExitCode {
