config: the advertised addresses are read like all other settings

Ruled out: serde beside the readers (a second way, one finding without a place). Change: `advertise` has a reader; a peers' listener on every address of the instance is fine if it is advertised by an IP number.

--- a/crates/config/src/agent.rs
+++ b/crates/config/src/agent.rs
@@ -43,8 +43,7 @@
 }
 
 /// Addresses that other agents use, where they differ from those listened on.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AdvertiseSettings {
     /// JSON-RPC of other agents.
     pub peer_rpc: Option<SocketAddr>,
@@ -101,7 +100,6 @@
     /// Addresses that it listens on.
     pub listen: ListenSettings,
     /// Addresses that other agents use, where they differ from those listened on.
-    #[serde(default)]
     pub advertise: AdvertiseSettings,
     /// Address of the platform's key-value service.
     pub store: SocketAddr,
@@ -132,8 +130,10 @@
 /// Reads all settings.
 fn read_agent(node: &TreeNode, log: &mut FindingLog) -> Option<AgentSettings> {
     let mut object = ObjectReader::new("the agent's settings", node, log)?;
+    let object_place = object.place();
     let name = object.required("name", log, reader::name);
     let place = object.required("place", log, read_place);
+    let advertise = object.optional("advertise", log, read_advertise);
     let listen = object.required("listen", log, read_listen);
     let store_node = object.node("store");
     let store = object.required("store", log, address);
@@ -146,10 +146,15 @@
     if let (Some(store), Some(node), Some(listen)) = (store, store_node, &listen) {
         check_store(store, &node.place, listen, log);
     }
+    let advertise = advertise.unwrap_or_default();
+    if let Some(listen) = &listen {
+        check_callable(listen, &advertise, object_place, log);
+    }
     Some(AgentSettings {
         name: name?,
         place: place?,
         listen: listen?,
+        advertise,
         store: store?,
         log_level: log_level.unwrap_or_else(|| "info".into()),
         trace_dir,
@@ -188,8 +193,7 @@
     })
 }
 
-/// Reads the listeners' addresses and checks that none stands twice. Other agents call the peers'
-/// and operators' listeners at the written address, so those need an IP number of this instance.
+/// Reads the listeners' addresses and checks that none stands twice.
 fn read_listen(node: &TreeNode, log: &mut FindingLog) -> Option<ListenSettings> {
     let mut object = ObjectReader::new("\"listen\"", node, log)?;
     let mut seen: Vec<(&str, SocketAddr)> = Vec::new();
@@ -203,10 +207,6 @@
             log.add(place, message, "give each listener a port of its own");
         }
         seen.push((name, address));
-        if address.ip().is_unspecified() && !["caller", "backend"].contains(&name) {
-            let message = format!("{name:?} has the address {address}, which others can't call");
-            log.add(place, message, "write an IP number of this instance");
-        }
         Some(address)
     };
     let caller = read("caller", log);
@@ -224,6 +224,41 @@
     })
 }
 
+/// Reads the addresses that other agents use.
+fn read_advertise(node: &TreeNode, log: &mut FindingLog) -> Option<AdvertiseSettings> {
+    let mut object = ObjectReader::new("\"advertise\"", node, log)?;
+    let peer_rpc = object.optional("peer_rpc", log, address);
+    let peer_forward = object.optional("peer_forward", log, address);
+    object.finish(log);
+    Some(AdvertiseSettings {
+        peer_rpc,
+        peer_forward,
+    })
+}
+
+/// Checks that the addresses which others call are those of one instance.
+fn check_callable(
+    listen: &ListenSettings,
+    advertise: &AdvertiseSettings,
+    place: &TextPlace,
+    log: &mut FindingLog,
+) {
+    let called = [
+        ("peer_rpc", advertise.peer_rpc.unwrap_or(listen.peer_rpc)),
+        (
+            "peer_forward",
+            advertise.peer_forward.unwrap_or(listen.peer_forward),
+        ),
+        ("operator", listen.operator),
+    ];
+    for (name, address) in called {
+        if address.ip().is_unspecified() {
+            let message = format!("{name:?} has the address {address}, which others can't call");
+            log.add(place, message, "write an IP number of this instance");
+        }
+    }
+}
+
 /// Whether two listeners can't both have their address.
 fn clash(one: SocketAddr, other: SocketAddr) -> bool {
     let same_ip = one.ip() == other.ip();
