--- a/crates/config/src/agent.rs
+++ b/crates/config/src/agent.rs
@@ -43,8 +43,7 @@
 }
 
 /// Addresses that other agents use, where they differ from those listened on.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields, default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AdvertiseSettings {
     /// JSON-RPC of other agents.
     pub peer_rpc: Option<SocketAddr>,
@@ -101,7 +100,6 @@
     /// Addresses that it listens on.
     pub listen: ListenSettings,
     /// Addresses that other agents use, where they differ from those listened on.
-    #[serde(default)]
     pub advertise: AdvertiseSettings,
     /// Address of the platform's key-value service.
     pub store: SocketAddr,
@@ -135,6 +133,7 @@
     let name = object.required("name", log, reader::name);
     let place = object.required("place", log, read_place);
     let listen = object.required("listen", log, read_listen);
+    let advertise = object.optional("advertise", log, read_advertise);
     let store_node = object.node("store");
     let store = object.required("store", log, address);
     let log_level = object.optional("log_level", log, read_level);
@@ -150,6 +149,7 @@
         name: name?,
         place: place?,
         listen: listen?,
+        advertise: advertise.unwrap_or_default(),
         store: store?,
         log_level: log_level.unwrap_or_else(|| "info".into()),
         trace_dir,
@@ -224,6 +224,18 @@
     })
 }
 
+/// Reads the addresses that other agents use.
+fn read_advertise(node: &TreeNode, log: &mut FindingLog) -> Option<AdvertiseSettings> {
+    let mut object = ObjectReader::new("\"advertise\"", node, log)?;
+    let peer_rpc = object.optional("peer_rpc", log, address);
+    let peer_forward = object.optional("peer_forward", log, address);
+    object.finish(log);
+    Some(AdvertiseSettings {
+        peer_rpc,
+        peer_forward,
+    })
+}
+
 /// Whether two listeners can't both have their address.
 fn clash(one: SocketAddr, other: SocketAddr) -> bool {
     let same_ip = one.ip() == other.ip();
