--- a/crates/bench/src/call.rs
+++ b/crates/bench/src/call.rs
@@ -23,7 +23,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// A caller waits this much longer than the timeout that it states, in milliseconds.
-const PATIENCE_MS: u64 = 2_000;
+const PATIENCE_MS: u64 = 500;
 
 /// Connections of the client to one address.
 const CONNECTIONS: usize = 256;
--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -5,10 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::Context;
 use anyhow::Result;
 use jy_kernel::clock;
-use jy_types::name::Name;
 use jy_types::request::RefusalKind;
 use tokio::time::sleep;
 
@@ -20,11 +18,9 @@
 use crate::call::RefusedRun;
 use crate::fleet::Fleet;
 use crate::fleet::FleetOptions;
-use crate::journal_check;
 use crate::load::EntryList;
 use crate::load::LoadKind;
 use crate::load::LoadRun;
-use crate::load::key_name;
 use crate::plan;
 use crate::plan::CHALK;
 use crate::plan::REGISTER_PATH;
@@ -35,13 +31,12 @@
 use crate::report::FigureRow;
 use crate::report::FigureTable;
 use crate::runner;
+use crate::trial;
 
 /// Longest wait for the fleet to be ready, in milliseconds.
 const READY_LIMIT_MS: u64 = 15_000;
-/// A key is served again within this time after its owner is lost, in milliseconds.
+/// Longest wait for a key to be served, in milliseconds.
 const KEY_LIMIT_MS: u64 = 5_000;
-/// A key is unavailable at most this long in a graceful leave, in milliseconds.
-const LEAVE_GAP_MS: u64 = 1_000;
 /// Longest time that a graceful leave takes, in milliseconds.
 const LEAVE_LIMIT_MS: u64 = 15_000;
 /// Length of the quiet part of the load, in milliseconds.
@@ -53,7 +48,7 @@
 /// Keys of each keyed service.
 const KEYS: u32 = 1_000;
 /// Keys that are watched while an owner goes.
-const PROBED_KEYS: u32 = 8;
+const PROBED_KEYS: usize = 8;
 
 /// Runs the demo.
 ///
@@ -79,7 +74,7 @@
     let mut fleet = Fleet::start(plan::both(), options).await?;
     let ready_ms = fleet.wait_ready(READY_LIMIT_MS).await?;
     println!("{} agents and backend servers are ready", fleet.nodes.len());
-    table.add(FigureRow::new("fleet ready", ms(ready_ms), "ms").with_at_most(ms(READY_LIMIT_MS)));
+    table.add(FigureRow::of_ms("fleet ready", ready_ms).with_at_most(15_000.0));
 
     try_odd_requests(&fleet, &mut table).await?;
     let entries: EntryList = Rc::new(RefCell::new(fleet.entries()));
@@ -90,10 +85,8 @@
     leave(&mut fleet, &entries, &load, &mut table, args.seed).await?;
 
     let (tally, _) = load.stop().await;
-    table.add(
-        FigureRow::new("wrong answers at the end", count(tally.wrong()), "").with_at_most(0.0),
-    );
-    report_journals(&fleet, &mut table).await?;
+    table.add(FigureRow::of_count("wrong answers at the end", tally.wrong()).with_at_most(0.0));
+    trial::report_journals(&fleet, &mut table).await?;
     Ok(table)
 }
 
@@ -114,8 +107,8 @@
     let tally = load.take_tally();
     tally.print("steady load");
     let lost = tally.total() - tally.served();
-    table.add(FigureRow::new("steady: served", count(tally.served()), "").with_at_least(1.0));
-    table.add(FigureRow::new("steady: not served", count(lost), "").with_at_most(0.0));
+    table.add(FigureRow::of_count("steady: served", tally.served()).with_at_least(1.0));
+    table.add(FigureRow::of_count("steady: not served", lost).with_at_most(0.0));
     table.add(FigureRow::new("steady: p50", tally.quantile_ms(0.5), "ms"));
     table.add(FigureRow::new("steady: p99", tally.quantile_ms(0.99), "ms").with_at_most(18.0));
 }
@@ -132,7 +125,7 @@
     table: &mut FigureTable,
     seed: u64,
 ) -> Result<()> {
-    let (victim, keys) = owned_keys(fleet, SEALS, VERIFIER).await?;
+    let (victim, keys) = trial::owned_keys(fleet, SEALS, VERIFIER, PROBED_KEYS).await?;
     let victim_addr = fleet.nodes[victim].addrs.caller;
     entries.borrow_mut().retain(|entry| *entry != victim_addr);
     let probe = KeyProbe::start(SEALS, VERIFIER, &keys, entries, seed);
@@ -157,15 +150,12 @@
     let tally = load.take_tally();
     tally.print("load while the owner was lost");
     table.add(
-        FigureRow::new("owner lost: key unavailable", ms(gap), "ms").with_at_most(ms(KEY_LIMIT_MS)),
-    );
-    table.add(
-        FigureRow::new("owner lost: wrong answers", count(tally.wrong()), "").with_at_most(0.0),
+        FigureRow::of_ms("owner lost: key unavailable", gap).with_at_most(trial::SERVED_AGAIN_MS),
     );
-    table.add(FigureRow::new(
+    table.add(FigureRow::of_count("owner lost: wrong answers", tally.wrong()).with_at_most(0.0));
+    table.add(FigureRow::of_count(
         "owner lost: outcome unknown",
-        count(tally.unknown()),
-        "",
+        tally.unknown(),
     ));
     Ok(())
 }
@@ -182,7 +172,7 @@
     table: &mut FigureTable,
     seed: u64,
 ) -> Result<()> {
-    let (leaver, keys) = owned_keys(fleet, CHALK, STOCKDESK).await?;
+    let (leaver, keys) = trial::owned_keys(fleet, CHALK, STOCKDESK, PROBED_KEYS).await?;
     let probe = KeyProbe::start(CHALK, STOCKDESK, &keys, entries, seed);
     probe.wait_served(clock::now(), KEY_LIMIT_MS).await;
     let since = clock::now();
@@ -197,43 +187,15 @@
 
     let tally = load.take_tally();
     tally.print("load while an agent left");
-    table.add(FigureRow::new("leave: took", ms(took), "ms").with_at_most(ms(LEAVE_LIMIT_MS)));
+    table.add(FigureRow::of_ms("leave: took", took).with_at_most(15_000.0));
     table.add(
-        FigureRow::new("leave: ended with exit code 0", count(u64::from(clean)), "")
-            .with_at_least(1.0),
-    );
-    table.add(FigureRow::new("leave: cut requests", count(tally.cut()), "").with_at_most(0.0));
-    table.add(
-        FigureRow::new("leave: key unavailable", ms(gap), "ms").with_at_most(ms(LEAVE_GAP_MS)),
+        FigureRow::of_count("leave: ended with exit code 0", u64::from(clean)).with_at_least(1.0),
     );
+    table.add(FigureRow::of_count("leave: cut requests", tally.cut()).with_at_most(0.0));
+    table.add(FigureRow::of_ms("leave: key unavailable", gap).with_at_most(trial::LEAVE_GAP_MS));
     Ok(())
 }
 
-/// Returns the owner of a key of a service and more keys of the same owner.
-///
-/// # Errors
-///
-/// What could not be done.
-async fn owned_keys(fleet: &Fleet, workspace: &str, service: &str) -> Result<(usize, Vec<Name>)> {
-    let asked = fleet.running()[0];
-    let mut chosen: Option<Name> = None;
-    let mut keys = Vec::new();
-    for number in 0..KEYS {
-        let key = key_name(number);
-        let status = fleet.owner(asked, workspace, service, &key).await?;
-        let owner = status.owner.context("a key has no owner")?.name;
-        let wanted = chosen.get_or_insert_with(|| Name::clone(&owner));
-        if *wanted == owner {
-            keys.push(key);
-        }
-        if keys.len() >= PROBED_KEYS as usize {
-            break;
-        }
-    }
-    let owner = chosen.context("no key has an owner")?;
-    Ok((fleet.index_of(&owner)?, keys))
-}
-
 /// Sends requests that must be refused, and repeats that must not run twice.
 ///
 /// # Errors
@@ -293,12 +255,8 @@
         mistakes += u64::from(expect(&plan.path, end, *wanted));
     }
     table.add(
-        FigureRow::new(
-            "odd requests answered otherwise than stated",
-            count(mistakes),
-            "",
-        )
-        .with_at_most(0.0),
+        FigureRow::of_count("odd requests answered otherwise than stated", mistakes)
+            .with_at_most(0.0),
     );
     Ok(())
 }
@@ -314,41 +272,3 @@
     }
     end != wanted
 }
-
-/// Checks the backend servers' journals.
-///
-/// # Errors
-///
-/// What could not be done.
-async fn report_journals(fleet: &Fleet, table: &mut FigureTable) -> Result<()> {
-    let findings = journal_check::check(&fleet.journals().await?);
-    table.add(
-        FigureRow::new("runs at backend servers", count(findings.runs), "").with_at_least(1.0),
-    );
-    let overlaps = findings.overlaps.len() + findings.stale_runs.len();
-    table.add(
-        FigureRow::new("runs of a key at two owners", count(overlaps as u64), "").with_at_most(0.0),
-    );
-    let doubles = findings.double_runs.len();
-    table.add(
-        FigureRow::new(
-            "non-idempotent requests run twice",
-            count(doubles as u64),
-            "",
-        )
-        .with_at_most(0.0),
-    );
-    Ok(())
-}
-
-/// Turns milliseconds into a figure.
-#[expect(clippy::cast_precision_loss, reason = "durations of one run are small")]
-const fn ms(millis: u64) -> f64 {
-    millis as f64
-}
-
-/// Turns a count into a figure.
-#[expect(clippy::cast_precision_loss, reason = "counts of one run are small")]
-const fn count(number: u64) -> f64 {
-    number as f64
-}
--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -177,6 +177,21 @@
         Ok(())
     }
 
+    /// Starts every agent that is not running, whether it was killed or ended by itself. Backend
+    /// servers go on, so that their journals stay.
+    ///
+    /// # Errors
+    ///
+    /// If a program can't be started.
+    pub fn restart_ended(&mut self) -> Result<()> {
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].is_ended()? {
+                self.start_agent(index)?;
+            }
+        }
+        Ok(())
+    }
+
     /// Accepts a workspace, whatever stands.
     ///
     /// # Errors
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Timed trials, checks by many seeds and figures behind `jybench`.
 
 pub mod args;
+pub mod assignment;
 pub mod call;
 pub mod demo;
 pub mod fleet;
@@ -16,3 +17,13 @@
 pub mod runner;
 pub mod socket_owner;
 pub mod tally;
+pub mod trial;
+pub mod trial_answers;
+pub mod trial_config;
+pub mod trial_loss;
+pub mod trial_once;
+pub mod trial_outage;
+pub mod trial_owner;
+pub mod trial_restart;
+pub mod trial_zone;
+pub mod trials;
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -37,6 +37,10 @@
     pub register_share: f64,
     /// Weight in the mix.
     pub weight: f64,
+    /// Times that a non-idempotent request is sent again, each through another agent.
+    pub repeats: u32,
+    /// Time that the caller gives a request, in milliseconds.
+    pub timeout_ms: u64,
 }
 
 impl LoadKind {
@@ -49,6 +53,8 @@
             keys,
             register_share: 0.0,
             weight: 1.0,
+            repeats: 0,
+            timeout_ms: 4_000,
         }
     }
 
@@ -59,6 +65,20 @@
         self
     }
 
+    /// Sets how often non-idempotent requests are sent again.
+    #[must_use]
+    pub const fn with_repeats(mut self, repeats: u32) -> Self {
+        self.repeats = repeats;
+        self
+    }
+
+    /// Sets the time that the caller gives a request, in milliseconds.
+    #[must_use]
+    pub const fn with_timeout(mut self, timeout_ms: u64) -> Self {
+        self.timeout_ms = timeout_ms;
+        self
+    }
+
     /// Draws a request. `number` makes its path unique.
     fn draw(&self, rng: &mut SmallRng, number: u64) -> CallPlan {
         let is_post = rng.random_bool(self.register_share);
@@ -71,7 +91,7 @@
             path: format!("{path}?n={number}").into(),
             key: key.map(key_name),
             idempotency_key: is_post.then(|| Uuid::now_v7().to_string().into()),
-            timeout_ms: 4_000,
+            timeout_ms: self.timeout_ms,
         }
     }
 }
@@ -93,7 +113,7 @@
     pub end_at: Millis,
     /// How it ended.
     pub end: CallEnd,
-    /// Index of the agent that it entered at.
+    /// Where it entered.
     pub entry: SocketAddr,
 }
 
@@ -173,23 +193,32 @@
         due = (due + pause).max(Instant::now());
         let number = state.next.get();
         state.next.set(number + 1);
-        let plan = pick(&state.kinds, &mut rng).draw(&mut rng, number);
-        let Some(entry) = pick_entry(&state.entries, &mut rng) else {
-            continue;
-        };
-        let start = clock::now();
-        let (end, took) = call::call(&client, entry, &plan).await;
-        state.tally.borrow_mut().add(end, took);
-        state.records.borrow_mut().push(CallRecord {
-            plan,
-            start,
-            end_at: clock::now(),
-            end,
-            entry,
-        });
+        let kind = pick(&state.kinds, &mut rng);
+        let plan = kind.draw(&mut rng, number);
+        let sends = if plan.is_post { 1 + kind.repeats } else { 1 };
+        for _ in 0..sends {
+            send_once(&state, &client, &mut rng, &plan).await;
+        }
     }
 }
 
+/// Sends a request through one agent and notes how it ended.
+async fn send_once(state: &LoadState, client: &Client, rng: &mut SmallRng, plan: &CallPlan) {
+    let Some(entry) = pick_entry(&state.entries, rng) else {
+        return;
+    };
+    let start = clock::now();
+    let (end, took) = call::call(client, entry, plan).await;
+    state.tally.borrow_mut().add(end, took);
+    state.records.borrow_mut().push(CallRecord {
+        plan: plan.clone(),
+        start,
+        end_at: clock::now(),
+        end,
+        entry,
+    });
+}
+
 /// Picks a kind by weight.
 fn pick<'a>(kinds: &'a [LoadKind], rng: &mut SmallRng) -> &'a LoadKind {
     let total: f64 = kinds.iter().map(|kind| kind.weight).sum();
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 use anyhow::Result;
 use jy_bench::demo;
 use jy_bench::report;
+use jy_bench::trials;
 
 /// One subcommand: its name, one line of help, and what it runs with the arguments after it.
 struct BenchCommand {
@@ -14,11 +15,18 @@
 }
 
 /// All subcommands.
-const COMMANDS: &[BenchCommand] = &[BenchCommand {
-    name: "demo",
-    help: "both deployments as processes: load, an owner lost, an agent that leaves",
-    run: demo::run,
-}];
+const COMMANDS: &[BenchCommand] = &[
+    BenchCommand {
+        name: "demo",
+        help: "both deployments as processes: load, an owner lost, an agent that leaves",
+        run: demo::run,
+    },
+    BenchCommand {
+        name: "trial",
+        help: "faults on real processes: owner, loss, outage, zone-out, answers, once, ...",
+        run: trials::run,
+    },
+];
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
--- a/crates/bench/src/node.rs
+++ b/crates/bench/src/node.rs
@@ -146,6 +146,29 @@
             .with_context(|| format!("agent {name} does not run"))
     }
 
+    /// Whether the agent was killed or has ended by itself.
+    ///
+    /// # Errors
+    ///
+    /// If the process can't be asked.
+    pub fn is_ended(&mut self) -> Result<bool> {
+        match &mut self.agent {
+            None => Ok(true),
+            Some(agent) => Ok(agent.ended()?.is_some()),
+        }
+    }
+
+    /// Waits until the agent ends by itself; returns whether it did so with exit code 0.
+    ///
+    /// # Errors
+    ///
+    /// If it does not run.
+    pub async fn ended_cleanly(&mut self, limit_ms: u64) -> Result<bool> {
+        let status = self.agent()?.wait(limit_ms).await?;
+        self.agent = None;
+        Ok(status.is_some_and(|status| status.success()))
+    }
+
     /// Whether the agent runs.
     #[must_use]
     pub const fn has_agent(&self) -> bool {
@@ -168,11 +191,8 @@
     ///
     /// If it does not run.
     pub async fn leave(&mut self, limit_ms: u64) -> Result<bool> {
-        let agent = self.agent()?;
-        agent.signal(Signal::TERM)?;
-        let status = agent.wait(limit_ms).await?;
-        self.agent = None;
-        Ok(status.is_some_and(|status| status.success()))
+        self.agent()?.signal(Signal::TERM)?;
+        self.ended_cleanly(limit_ms).await
     }
 
     /// Writes the agent's settings.
--- a/crates/bench/src/probe.rs
+++ b/crates/bench/src/probe.rs
@@ -27,6 +27,9 @@
 /// Time that a probe has, in milliseconds.
 const PROBE_TIMEOUT_MS: u64 = 500;
 
+/// Ends of probes that were not served, with their time.
+type MissedEnds = Rc<RefCell<Vec<(Millis, CallEnd)>>>;
+
 /// Points in time at which a key was served.
 type ServedTimes = Rc<RefCell<BTreeMap<Name, Vec<Millis>>>>;
 
@@ -34,6 +37,7 @@
 #[derive(Debug)]
 pub struct KeyProbe {
     times: ServedTimes,
+    missed: MissedEnds,
     stopped: Rc<Cell<bool>>,
     workers: Vec<JoinHandle<()>>,
 }
@@ -49,6 +53,7 @@
         seed: u64,
     ) -> Self {
         let times = ServedTimes::default();
+        let missed = MissedEnds::default();
         let stopped = Rc::new(Cell::new(false));
         let client = call::client();
         let workers = keys.iter().enumerate().map(|(index, key)| {
@@ -66,6 +71,7 @@
                 client: client.clone(),
                 entries: Rc::clone(entries),
                 times: Rc::clone(&times),
+                missed: Rc::clone(&missed),
                 stopped: Rc::clone(&stopped),
                 rng: SmallRng::seed_from_u64(seed.wrapping_add(index as u64)),
             };
@@ -74,6 +80,7 @@
         Self {
             workers: workers.collect(),
             times,
+            missed,
             stopped,
         }
     }
@@ -106,6 +113,7 @@
         }
         ProbeTimes {
             times: self.times.take(),
+            missed: self.missed.take(),
             ended: clock::now(),
         }
     }
@@ -115,6 +123,8 @@
 #[derive(Clone, Debug)]
 pub struct ProbeTimes {
     times: BTreeMap<Name, Vec<Millis>>,
+    /// Probes that were not served: when they ended and how.
+    pub missed: Vec<(Millis, CallEnd)>,
     ended: Millis,
 }
 
@@ -154,6 +164,7 @@
     client: Client,
     entries: EntryList,
     times: ServedTimes,
+    missed: MissedEnds,
     stopped: Rc<Cell<bool>>,
     rng: SmallRng,
 }
@@ -178,6 +189,8 @@
                     .entry(Name::clone(&key))
                     .or_default()
                     .push(clock::now());
+            } else {
+                self.missed.borrow_mut().push((clock::now(), end));
             }
             sleep(Duration::from_millis(PROBE_EVERY_MS)).await;
         }
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -35,6 +35,20 @@
         }
     }
 
+    /// Makes a figure of a count.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "counts of one run are small")]
+    pub fn of_count(name: impl Into<String>, count: u64) -> Self {
+        Self::new(name, count as f64, "")
+    }
+
+    /// Makes a figure of a time in milliseconds.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "times of one run are small")]
+    pub fn of_ms(name: impl Into<String>, millis: u64) -> Self {
+        Self::new(name, millis as f64, "ms")
+    }
+
     /// Sets the largest value allowed.
     #[must_use]
     pub const fn with_at_most(mut self, bound: f64) -> Self {
