--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -7,6 +7,7 @@
 use jy_bench::lease;
 use jy_bench::policy;
 use jy_bench::report;
+use jy_bench::trials;
 
 /// One subcommand: its name, one line of help, and what it runs with the arguments after it.
 struct BenchCommand {
@@ -32,6 +33,11 @@
         help: "tail, overload, cold start and retries in virtual time, beside a baseline",
         run: policy::run,
     },
+    BenchCommand {
+        name: "trial",
+        help: "faults on real processes: owner, loss, outage, zone-out, answers, once, ...",
+        run: trials::run,
+    },
 ];
 
 fn main() -> ExitCode {
--- a/crates/bench/src/plan.rs
+++ b/crates/bench/src/plan.rs
@@ -165,7 +165,6 @@
         ],
         accepted: None,
         token: 1,
-        accepted: None,
     }
 }
 
@@ -184,7 +183,6 @@
         ],
         accepted: None,
         token: 2,
-        accepted: None,
     }
 }
 
