control: recover a fleet whose agents were all restarted at once

Cause: a verdict needs votes of live monitors. When an agent and all its monitors end together (a whole fleet restarted, a region without power), nobody votes, and its units stay without an owner for ever. Ruled out: a verdict on the word of the successor alone: an instance that froze and whose address went to another could return and serve; verdicts by age alone: nobody outside can tell a cut from an end. Change: an agent that joins names the earlier incarnations at its own listening addresses, whose processes have ended; as monitors these count as over one TTL, margin and grace after that was read, and only against agents that no longer answer. New monitor sets leave them out. Conclusion: a fleet restarted in place recovers by itself; one that comes back under other addresses still needs an operator.

--- a/crates/agent/src/member.rs
+++ b/crates/agent/src/member.rs
@@ -8,6 +8,7 @@
 use jy_store::client::StoreClient;
 use jy_store::client::SwapEnd;
 use jy_store::protocol::SwapCall;
+use jy_types::member::AgentId;
 use jy_types::member::Endpoint;
 use jy_types::member::MemberRecord;
 use jy_types::member::MemberState;
@@ -72,6 +73,8 @@
         let patience = Duration::from_millis(FIRST_ANNOUNCEMENT_MS);
         // Without an announcement the agent joins as a gateway and monitor.
         drop(timeout(patience, self.changed.notified()).await);
+        // The first list names the earlier incarnations that this one replaces.
+        self.wait_for(1).await;
         loop {
             match self.write_due() {
                 None => self.changed.notified().await,
@@ -124,9 +127,23 @@
             monitors: MonitorSet::default(),
             next_monitors: None,
             term: 0,
+            replaces: self.replaced(),
         }
     }
 
+    /// Earlier incarnations at the addresses that this one listens on.
+    fn replaced(&self) -> Vec<AgentId> {
+        let id = &self.identity.id;
+        let listen = self.identity.settings.listen.operator;
+        self.feed
+            .view()
+            .present()
+            .filter(|member| member.id != *id && member.id.name == id.name)
+            .filter(|member| member.operator_addr == listen)
+            .map(|member| member.id.clone())
+            .collect()
+    }
+
     /// Writes the record; what stands afterwards comes with the records.
     async fn write(&self, call: &SwapCall) {
         let result = self.store.swap(call).await;
--- a/crates/control/src/fake_agents.rs
+++ b/crates/control/src/fake_agents.rs
@@ -199,6 +199,7 @@
             monitors: MonitorSet::default(),
             next_monitors: None,
             term: 0,
+            replaces: Vec::new(),
         }
     }
 }
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -1,6 +1,7 @@
 //! Members: verdicts, joins, departures and changes of monitors.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use jy_feed::view::FleetView;
 use jy_feed::view::Revised;
@@ -53,6 +54,8 @@
     suspects: BTreeMap<AgentId, Millis>,
     joining_since: BTreeMap<AgentId, Millis>,
     over_since: BTreeMap<AgentId, Millis>,
+    /// When replaced incarnations were first read. As monitors they support nobody any more.
+    replaced_since: BTreeMap<AgentId, Millis>,
 }
 
 /// A wanted change of a member's record.
@@ -69,6 +72,7 @@
             suspects: BTreeMap::new(),
             joining_since: BTreeMap::new(),
             over_since: BTreeMap::new(),
+            replaced_since: BTreeMap::new(),
         }
     }
 
@@ -115,7 +119,14 @@
                 self.joining_since.entry(member.id.clone()).or_insert(now);
             }
         }
+        for id in replaced(view) {
+            if !self.replaced_since.contains_key(&id) {
+                self.tally = self.tally.with_over(now, &id);
+                self.replaced_since.insert(id, now);
+            }
+        }
         let known = |id: &AgentId| view.members.contains_key(id);
+        self.replaced_since.retain(|id, _| known(id));
         self.over_since.retain(|id, _| known(id));
         self.reports.retain(|id, _| known(id));
         self.suspects.retain(|id, _| known(id));
@@ -265,6 +276,14 @@
     }
 }
 
+/// Returns the incarnations that a present one replaces at their addresses.
+#[must_use]
+pub fn replaced(view: &FleetView) -> BTreeSet<AgentId> {
+    view.present()
+        .flat_map(|member| member.replaces.iter().cloned())
+        .collect()
+}
+
 /// Whether a page or a present member's monitor set names an agent.
 fn is_named(view: &FleetView, id: &AgentId) -> bool {
     let in_set = |set: &MonitorSet| set.monitors.contains(id);
--- a/crates/control/src/watches.rs
+++ b/crates/control/src/watches.rs
@@ -13,6 +13,7 @@
 
 use crate::api::ControlSettings;
 use crate::members::MemberWrite;
+use crate::members::replaced;
 use crate::monitors::WatchCounts;
 use crate::monitors::choose_set;
 use crate::monitors::count_watches;
@@ -62,7 +63,11 @@
                 _ => member,
             }
         };
-        let members = view.present().map(newest);
+        let replaced = replaced(view);
+        let members = view
+            .present()
+            .filter(|member| !replaced.contains(&member.id))
+            .map(newest);
         let present: BTreeMap<&AgentId, &MemberRecord> = members
             .filter(|member| !member.state.is_over())
             .map(|member| (&member.id, member))
--- a/crates/control/tests/test_core.rs
+++ b/crates/control/tests/test_core.rs
@@ -105,14 +105,17 @@
     }
 
     fn join(&mut self, name: &str, zone: &str) {
+        self.join_as(AgentId::new(name, 1), zone, Vec::new());
+    }
+
+    fn join_as(&mut self, id: AgentId, zone: &str, replaces: Vec<AgentId>) {
         let addr = "127.0.0.1:1".parse().unwrap();
         let record = MemberRecord {
-            id: AgentId::new(name, 1),
             state: MemberState::Joining,
             place: Place {
                 region: "r".into(),
                 zone: zone.into(),
-                rack: name.into(),
+                rack: id.name.clone(),
             },
             rpc_addr: addr,
             forward_addr: addr,
@@ -126,6 +129,8 @@
             monitors: MonitorSet::default(),
             next_monitors: None,
             term: 0,
+            replaces,
+            id,
         };
         let text = serde_json::to_string(&record).unwrap();
         self.put(member_key(&record.id), &text);
@@ -242,3 +247,19 @@
     expect_that!(bench.counts().get("y"), none());
     expect_that!(bench.member("y").state, eq(MemberState::Live));
 }
+
+#[gtest]
+fn step_fleet_restarted_at_once_gets_verdicts_on_all() {
+    let mut bench = three();
+    for (name, zone) in [("x", "a"), ("y", "b"), ("z", "c")] {
+        let old = AgentId::new(name, 1);
+        bench.join_as(AgentId::new(name, 2), zone, vec![old]);
+    }
+    bench.run(10_000);
+    for name in ["x", "y", "z"] {
+        expect_that!(bench.member(name).state, eq(MemberState::Dead));
+    }
+    let count: usize = bench.counts().into_values().sum();
+    expect_that!(bench.counts().get(""), none());
+    expect_that!(count, eq(16_384));
+}
--- a/crates/testutils/src/lease_check/store.rs
+++ b/crates/testutils/src/lease_check/store.rs
@@ -106,5 +106,6 @@
         monitors: MonitorSet::default(),
         next_monitors: None,
         term: 0,
+        replaces: Vec::new(),
     }
 }
--- a/crates/types/src/member.rs
+++ b/crates/types/src/member.rs
@@ -133,4 +133,8 @@
     pub next_monitors: Option<MonitorSet>,
     /// The controller's term that wrote this record last; zero if the agent itself did.
     pub term: u64,
+    /// Earlier incarnations at the same addresses. This one could listen there, so their processes
+    /// have ended.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub replaces: Vec<AgentId>,
 }
