ctl, burn: burn report from a running fleet; doubt and leavers are said

Cause: the report had no collector; a store that stops in the middle of a write left the operator with "did not answer", though the write may still take effect; an agent that left in between was not named. Ruled out: asking only once at begin and end (a restart in between loses everything up to it; a look each 2 s loses at most that); keeping samples in the store (it holds the operators' configuration and has a limited rate). Change: `jyctl burn` with samples kept as JSON lines; `Undecided` with exit 3; agents that are not asked any more are named; long lists of missing agents are cut.

--- a/crates/burn/src/delta.rs
+++ b/crates/burn/src/delta.rs
@@ -11,6 +11,9 @@
 use crate::scrape::ServiceCounters;
 use crate::scrape::ServiceName;
 
+/// An agent that is asked no more for this long has left, in milliseconds.
+const GONE_AFTER_MS: u64 = 10_000;
+
 /// Increase of one service's counters at one agent over a stretch of time.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CounterDelta {
@@ -37,6 +40,8 @@
     pub missed: BTreeMap<Name, u32>,
     /// Agents that answered at least once.
     pub agents: Vec<Name>,
+    /// Of these, the ones that were not asked any more at the end.
+    pub gone: Vec<Name>,
 }
 
 /// Works out the increases between the looks at each agent.
@@ -52,6 +57,11 @@
         .map(|sample| sample.at)
         .min()
         .unwrap_or_default();
+    let end = samples
+        .iter()
+        .map(|sample| sample.at)
+        .max()
+        .unwrap_or_default();
     let mut agents: BTreeMap<Name, Vec<&AgentSample>> = BTreeMap::new();
     for sample in samples {
         agents.entry(sample.agent.clone()).or_default().push(sample);
@@ -59,6 +69,10 @@
     for (agent, mut looks) in agents {
         looks.sort_by_key(|sample| sample.at);
         take_agent(&mut set, &agent, &looks, first);
+        let last = looks.last().map(|sample| sample.at).unwrap_or_default();
+        if end.0.saturating_sub(last.0) > GONE_AFTER_MS {
+            set.gone.push(agent);
+        }
     }
     set.deltas.sort_by_key(|delta| delta.to);
     set
--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -61,6 +61,8 @@
     /// Agents that restarted, with the number of times: what the old process counted after its last
     /// look is missing.
     pub restarts: BTreeMap<Name, u32>,
+    /// Agents that left: what they counted after their last look is missing.
+    pub gone: Vec<Name>,
     /// The services.
     pub services: Vec<ServiceBurn>,
 }
@@ -177,6 +179,7 @@
         restarts,
         missed,
         agents,
+        gone,
         ..
     } = set;
     BurnReport {
@@ -186,6 +189,7 @@
         agents,
         missed,
         restarts,
+        gone,
         services,
     }
 }
--- a/crates/burn/src/text.rs
+++ b/crates/burn/src/text.rs
@@ -57,6 +57,12 @@
             "{agent} restarted {count} time(s); what it counted after its last answer is not seen"
         ));
     }
+    if !report.gone.is_empty() {
+        notes.push(format!(
+            "left meanwhile: {}; what they counted after their last answer is not seen",
+            report.gone.join(", ")
+        ));
+    }
     let covered = report.at.0.saturating_sub(report.since.0);
     if covered < report.settings.long_ms {
         notes.push(format!(
--- a/crates/burn/tests/test_report.rs
+++ b/crates/burn/tests/test_report.rs
@@ -148,6 +148,20 @@
     )
 }
 
+#[gtest]
+fn make_says_who_left() -> Result<()> {
+    let idle = metrics(500, 0, 0, 0, 0.0);
+    let samples = [
+        look("one", 1_000, &idle),
+        look("two", 1_000, &idle),
+        look("one", 1_011, &idle),
+    ];
+    verify_that!(
+        text::write(&make(&samples)),
+        contains_substring("left meanwhile: two;")
+    )
+}
+
 #[gtest]
 fn make_pages_only_if_both_windows_burn() -> Result<()> {
     // 50 % bad in the first 10 s and none in the last 10 s: 50 over 1 allowed is 25 over both.
--- a/crates/ctl/src/accept.rs
+++ b/crates/ctl/src/accept.rs
@@ -156,7 +156,7 @@
 ///
 /// # Errors
 ///
-/// [`CtlError::Store`]; after its [`StoreError::NoAnswer`] the write may still take effect.
+/// [`CtlError::Store`], or [`CtlError::Undecided`] if the write may still take effect.
 pub async fn write(
     store: &StoreClient,
     pause: &PauseFn,
@@ -185,6 +185,9 @@
                 attempt += 1;
                 pause(RETRY_PAUSE_MS).await;
             }
+            Err(cause @ (StoreError::NoAnswer { .. } | StoreError::Malformed { .. })) => {
+                return Err(CtlError::Undecided { cause });
+            }
             Err(error) => return Err(error.into()),
         }
     }
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -41,6 +41,14 @@
         /// What to do next.
         hint: String,
     },
+    /// A write was sent and nobody can tell whether it takes effect.
+    #[error(
+        "{cause}\n  hint: the change may still take effect; look at it again once the store answers"
+    )]
+    Undecided {
+        /// What the store's client said.
+        cause: StoreError,
+    },
     /// The store failed.
     #[error("{0}")]
     Store(#[from] StoreError),
@@ -89,7 +97,7 @@
         match self {
             Self::Usage { .. } | Self::File { .. } => EXIT_USAGE,
             Self::Findings(_) | Self::Refused { .. } => EXIT_FINDINGS,
-            Self::Store(_) | Self::Agent { .. } => EXIT_UNREACHABLE,
+            Self::Store(_) | Self::Undecided { .. } | Self::Agent { .. } => EXIT_UNREACHABLE,
         }
     }
 }
--- a/crates/ctl/src/fleet.rs
+++ b/crates/ctl/src/fleet.rs
@@ -229,7 +229,7 @@
     let problem: Option<serde_json::Value> = serde_json::from_str(&text).ok();
     let detail = problem
         .as_ref()
-        .and_then(|problem| problem.get("detail")?.as_str())
+        .and_then(|problem| problem.get("detail").unwrap_or(problem).as_str())
         .unwrap_or(text.trim())
         .to_owned();
     let message = format!("the agent at {address} refused the call with status {status}: {detail}");
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod accept;
 pub mod args;
+pub mod burn;
 pub mod clock;
 pub mod command;
 pub mod configure;
@@ -30,6 +31,7 @@
     status::OWNER,
     zone::ZONE,
     drain::DRAIN,
+    burn::BURN,
 ];
 
 /// Runs one command line and returns what to print.
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -247,7 +247,7 @@
     let unit = if owner.pinned { "pinned key" } else { "slice" };
     let text = format!(
         "key          {key} (hash {:016x})\nheld in      {unit} {}\nowner        {name}\n\
-         fence        {:x}{}\n",
+         fence        {:#x}{}\n",
         KeyHash::new(&key).0,
         owner.slice,
         owner.fence,
--- a/crates/ctl/src/watch.rs
+++ b/crates/ctl/src/watch.rs
@@ -26,6 +26,9 @@
 /// A configuration is to be in force everywhere within this time, in milliseconds.
 const WITHIN_MS: u64 = 6_000;
 
+/// Agents that are named when they lack a revision.
+const MISSING_SHOWN: usize = 8;
+
 /// `jyctl watch`.
 pub const WATCH: CommandSpec = CommandSpec {
     name: "watch",
@@ -160,11 +163,25 @@
          they are back, or leave by a verdict\n",
         tally.have,
         tally.asked,
-        tally.missing.join(", ")
+        missing_text(&tally.missing)
     );
     CommandOutcome::new(text, json).with_exit(EXIT_LATE)
 }
 
+/// Names the first of the agents that lack a revision.
+fn missing_text(missing: &[String]) -> String {
+    let shown = missing
+        .iter()
+        .take(MISSING_SHOWN)
+        .cloned()
+        .collect::<Vec<_>>();
+    let more = missing.len().saturating_sub(MISSING_SHOWN);
+    match more {
+        0 => shown.join(", "),
+        more => format!("{} and {more} more (`--json` lists all)", shown.join(", ")),
+    }
+}
+
 /// A line on standard error that is written over while it changes.
 pub struct ProgressLine {
     last: String,
--- a/crates/ctl/src/zone.rs
+++ b/crates/ctl/src/zone.rs
@@ -110,6 +110,7 @@
     let names = choose(&states, matches.opt_str("workspace").as_deref(), zone)?;
     let author = args::author(&matches);
     let mut lines = String::new();
+    let mut newest = 0;
     let mut ends = Vec::new();
     for name in names {
         let end = edit(&store, &clock::pause(), &author, &name, zone, change).await?;
@@ -117,11 +118,12 @@
             ZoneEnd::Unchanged { revision } => ("already", revision),
             ZoneEnd::Changed { revision } => ("now", revision),
         };
+        newest = newest.max(revision);
         let text = change.text();
         lines += &format!("{name}: {zone} is {word} {text}, revision {revision}\n");
         ends.push(json!({"workspace": name, "revision": revision, "changed": word == "now"}));
     }
-    lines += "to see it spread: jyctl watch --revision REVISION --agent IP:PORT\n";
+    lines += &format!("to see it spread: jyctl watch --revision {newest} --agent IP:PORT\n");
     let json = json!({"zone": zone, "change": change.text(), "workspaces": ends});
     Ok(CommandOutcome::new(lines, json))
 }
--- a/crates/ctl/tests/test_accept.rs
+++ b/crates/ctl/tests/test_accept.rs
@@ -13,6 +13,7 @@
 use jy_ctl::error::CtlError;
 use jy_ctl::error::EXIT_FINDINGS;
 use jy_ctl::error::EXIT_OK;
+use jy_ctl::error::EXIT_UNREACHABLE;
 use jy_ctl::files;
 use jy_ctl::zone;
 use jy_ctl::zone::ZoneChange;
@@ -173,12 +174,17 @@
 }
 
 #[gtest]
-fn write_store_down_is_unreachable() -> Result<()> {
+fn write_store_down_is_undecided() -> Result<()> {
     let store = FakeStore::new();
     store.set_down(true);
     let record = accept::sign(seals(6), 0, &author("ada"));
     let end = run(accept::write(&store.client(), &pause(), 0, &record));
-    verify_that!(end.map_err(|error| error.exit_code()), err(eq(&3)))
+    let error = end.expect_err("the store is down");
+    verify_that!(error.exit_code(), eq(EXIT_UNREACHABLE))?;
+    verify_that!(
+        error,
+        displays_as(contains_substring("may still take effect"))
+    )
 }
 
 #[gtest]
