--- a/crates/bench/src/plan.rs
+++ b/crates/bench/src/plan.rs
@@ -163,8 +163,8 @@
             service("registry", false),
             service("catalogue", false),
         ],
-        token: 1,
         accepted: None,
+        token: 1,
     }
 }
 
@@ -181,8 +181,8 @@
             service("orderbook", false),
             service("cataloguer", false),
         ],
-        token: 2,
         accepted: None,
+        token: 2,
     }
 }
 
