--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod args;
 pub mod assignment;
 pub mod call;
+pub mod config_race;
 pub mod demo;
 pub mod fleet;
 pub mod journal_check;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use anyhow::Result;
+use jy_bench::config_race;
 use jy_bench::demo;
 use jy_bench::lease;
 use jy_bench::policy;
@@ -18,6 +19,11 @@
 
 /// All subcommands.
 const COMMANDS: &[BenchCommand] = &[
+    BenchCommand {
+        name: "config-race",
+        help: "operators who race, lost answers, agents that hear late: does anything revert?",
+        run: config_race::run,
+    },
     BenchCommand {
         name: "demo",
         help: "both deployments as processes: load, an owner lost, an agent that leaves",
