--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -114,7 +114,7 @@
         format!("zones       {}", zones_text(sights)),
         format!("controller  {}", controller_text(sights)),
         format!(
-            "store       reached by {reached} of {} agents that call it",
+            "store       last call succeeded at {reached} of {} agents",
             calls.len()
         ),
         format!(
