--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,8 @@
 
 use anyhow::Result;
 use jy_bench::demo;
+use jy_bench::lease;
+use jy_bench::policy;
 use jy_bench::report;
 use jy_bench::trials;
 
@@ -21,6 +23,16 @@
         help: "both deployments as processes: load, an owner lost, an agent that leaves",
         run: demo::run,
     },
+    BenchCommand {
+        name: "lease-check",
+        help: "random schedules of the lease protocol, and each rule broken on purpose",
+        run: lease::check,
+    },
+    BenchCommand {
+        name: "policy",
+        help: "tail, overload, cold start and retries in virtual time, beside a baseline",
+        run: policy::run,
+    },
     BenchCommand {
         name: "trial",
         help: "faults on real processes: owner, loss, outage, zone-out, answers, once, ...",
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -76,10 +76,14 @@
         let Some(running) = self.running.remove(&ticket) else {
             return;
         };
-        self.close(&running.arrival);
+        if end == DispatchEnd::Unknown && now < running.deadline {
+            self.linger(&running);
+        } else {
+            self.close(running.arrival.unit);
+        }
         let refusal = match end {
             DispatchEnd::Answered { shed: true, .. } => {
-                self.ramp.shed();
+                self.ramp.shed(now);
                 self.withdraw(&running.arrival);
                 Some(refusals::shed())
             }
@@ -91,7 +95,7 @@
                 None
             }
             DispatchEnd::NotSent => {
-                self.ramp.restart();
+                self.ramp.doubt(now);
                 self.withdraw(&running.arrival);
                 Some(refusals::no_backend())
             }
@@ -102,12 +106,20 @@
         }
     }
 
+    /// Keeps a unit busy until a request without an answer must have been stopped.
+    fn linger(&mut self, running: &RunningRequest) {
+        if let Some(unit) = running.arrival.unit {
+            let key = (running.deadline, running.arrival.ticket);
+            self.lingering.insert(key, unit);
+        }
+    }
+
     /// Takes a request without a whole answer. One that broke before its deadline tells that the
     /// backend server may have restarted.
     fn lost(&mut self, now: Millis, running: &RunningRequest) -> Refusal {
         let is_break = now < running.deadline && !running.cancelled;
         if is_break && running.epoch == self.ramp.epoch() {
-            self.ramp.restart();
+            self.ramp.doubt(now);
         }
         if let Some(id) = window_id(&running.arrival) {
             self.window.finish(now, id, None);
@@ -118,7 +130,7 @@
     /// Learns from the time of an answer.
     fn observe(&mut self, now: Millis, running: &RunningRequest) {
         let service_ms = now.since(running.sent);
-        self.ramp.answered(running.epoch, service_ms);
+        self.ramp.answered(now, running.epoch, service_ms);
         self.mean_ms += (service_ms as f64 - self.mean_ms) * MEAN_WEIGHT;
     }
 
@@ -126,7 +138,7 @@
     /// answer is kept.
     pub(crate) fn caller_gone(&mut self, ticket: u64, actions: &mut Vec<GateAction>) {
         if let Some(arrival) = self.queue.remove(ticket) {
-            self.close(&arrival);
+            self.close(arrival.unit);
             self.withdraw(&arrival);
             return;
         }
@@ -142,6 +154,14 @@
     /// Refuses what waited past its deadline, and stops everything owned when the lease lapses.
     pub(crate) fn expire(&mut self, now: Millis, actions: &mut Vec<GateAction>) {
         self.ledger.pass(now);
+        while let Some(((until, _), unit)) = self.lingering.first_key_value() {
+            if *until > now {
+                break;
+            }
+            let unit = *unit;
+            self.lingering.pop_first();
+            self.close(Some(unit));
+        }
         if now >= self.lease && !self.open.is_empty() {
             let waiting = self.queue.take_matching(|arrival| arrival.unit.is_some());
             self.refuse_waiting(waiting, refusals::lease_lapsed, actions);
