agent: join as a new incarnation after a verdict

An agent that was frozen or cut off past its lease was declared dead and stayed so: its process went on without a lease for ever, and its backend server got no work. Now each incarnation has an actix system of its own, which is dropped whole when the records say that it is dead, and the process joins again. Ruled out: exit with an error, which leaves the return to whoever supervises processes.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -19,6 +19,7 @@
 use jy_route::api::RouteEvent;
 use jy_store::client::StoreClient;
 use jy_types::member::AgentId;
+use jy_types::member::MemberState;
 use jy_types::request::IN_FLIGHT_HEADER;
 use jy_types::request::Refusal;
 use jy_types::request::RefusalKind;
@@ -72,15 +73,27 @@
 /// Wait between two looks at whether this agent may be the controller, in milliseconds.
 const ELIGIBLE_LOOK_MS: u64 = 200;
 
+/// Time between looks for a verdict on this agent, in milliseconds.
+const VERDICT_LOOK_MS: u64 = 100;
+
 /// Connections to the backend server.
 const BACKEND_CONNECTIONS: usize = 100;
 
-/// Runs an agent until it has left.
+/// How a run of an agent ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    /// It was told to leave and has left.
+    Left,
+    /// A verdict declared this incarnation dead while its process lived: a new one may join.
+    Condemned,
+}
+
+/// Runs an agent until it has left or was declared dead.
 ///
 /// # Errors
 ///
 /// If an address can't be listened on.
-pub async fn run(settings: AgentSettings) -> Result<()> {
+pub async fn run(settings: AgentSettings) -> Result<RunEnd> {
     let settings = Rc::new(settings);
     let registry = ServiceRegistry::new();
     let leave = LeaveSignal::new();
@@ -91,17 +104,35 @@
     start_tasks(&registry, &settings, &leave)?;
     log::info!("agent {} started", settings.name);
 
-    leave.wait().await;
     let id = registry
         .find::<AgentIdentity>(identity::SERVICE)?
         .id
         .clone();
     let feed = registry.find::<FeedService>(feed::SERVICE)?;
+    tokio::select! {
+        () = leave.wait() => {}
+        () = condemned(&feed, &id) => {
+            log::warn!("agent {id} was declared dead; joining as a new incarnation");
+            return Ok(RunEnd::Condemned);
+        }
+    }
     let gate = registry.find::<GateService>(gate::SERVICE)?;
     let gateway = registry.find::<GatewayService>(gateway::SERVICE)?;
     let stop_accepting = || caller.abort();
     shutdown::leave(&leave, &id, &feed, &gate, &gateway, stop_accepting).await;
-    Ok(())
+    Ok(RunEnd::Left)
+}
+
+/// Waits until the records say that an incarnation is dead.
+async fn condemned(feed: &FeedService, id: &AgentId) {
+    let is_dead = || {
+        let view = feed.view();
+        view.member(id)
+            .is_some_and(|own| own.state == MemberState::Dead)
+    };
+    while !is_dead() {
+        sleep(Duration::from_millis(VERDICT_LOOK_MS)).await;
+    }
 }
 
 /// Makes the services.
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -6,6 +6,7 @@
 use anyhow::Result;
 use getopts::Options;
 use jy_agent::app;
+use jy_agent::app::RunEnd;
 use jy_config::agent::AgentSettings;
 use jy_config::agent::parse;
 
@@ -87,7 +88,14 @@
             return ExitCode::from(2);
         }
     };
-    let result = actix_rt::System::new().block_on(app::run(settings));
+    // A system of its own for each incarnation: nothing of a dead one goes on.
+    let result = loop {
+        match actix_rt::System::new().block_on(app::run(settings.clone())) {
+            Ok(RunEnd::Condemned) => {}
+            Ok(RunEnd::Left) => break Ok(()),
+            Err(error) => break Err(error),
+        }
+    };
     logs.flush();
     match result {
         Ok(()) => ExitCode::SUCCESS,
