lease: a monitor that left does not count as a vote

Cause: counting a monitor that left as if it were dead is unsafe: its record says left while its own lease is live, its monitors go on supporting it, and an agent behind on the records supports others for longer than the wait. Ruled out: a leaving agent that ends its lease before its record says left (safe too, in an earlier state of the check, but one more message of the hand-over protocol for a case that the replacement of leaving monitors already covers). Change: the tally is for dead monitors only (with_over says so); the check lets leaving agents keep their lease and breaks the rule on purpose. Conclusion: the controller must call with_over for dead members only.

--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -58,14 +58,14 @@
 }
 
 /// A round of renewals, one to each monitor.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct SentRound {
     sequence: u64,
     sent: Millis,
 }
 
 /// What a holder knows of one monitor.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct SupportEntry {
     /// When the newest supported renewal was sent.
     supported: Option<Millis>,
@@ -74,7 +74,7 @@
 }
 
 /// State of a holder.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct HolderState {
     id: AgentId,
     timing: LeaseTiming,
--- a/crates/lease/src/monitor.rs
+++ b/crates/lease/src/monitor.rs
@@ -5,7 +5,7 @@
 //! has just been given its monitors is not voted against at once. A vote is final: the monitor never
 //! supports that incarnation again.
 //!
-//! A monitor that is over counts as a vote some time later. So it must not support others for long
+//! A monitor that is dead counts as a vote some time later. So it must not support others for long
 //! once there may be a verdict on it, and it supports only until one grace after the newest point
 //! before which it knows that there was none.
 
@@ -34,7 +34,7 @@
     /// No verdict on the monitor itself is older than this point.
     ///
     /// That is the end of its own lease or, where later, the point at which it sent a read of its
-    /// own record that found it not over. A monitor that leaves says zero before its record does.
+    /// own record that found it not over.
     OwnLease {
         /// The point.
         until: Millis,
@@ -64,7 +64,7 @@
 }
 
 /// State of a monitor.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct MonitorState {
     id: AgentId,
     timing: LeaseTiming,
--- a/crates/lease/src/rule.rs
+++ b/crates/lease/src/rule.rs
@@ -25,8 +25,8 @@
     WaitWithoutGrace,
     /// The wait for a monitor that is over has the drift margin of one TTL, not of its whole span.
     WaitWithoutDrift,
-    /// A leaving agent's record says left before its lease has ended.
-    LeftWhileLeased,
+    /// A monitor that left counts as a vote, as if it were dead.
+    LeftCounted,
 }
 
 impl BrokenRule {
@@ -40,7 +40,7 @@
         Self::SupportWithoutLease,
         Self::WaitWithoutGrace,
         Self::WaitWithoutDrift,
-        Self::LeftWhileLeased,
+        Self::LeftCounted,
     ];
 
     /// The monitors' periods under the rule.
--- a/crates/lease/src/tally.rs
+++ b/crates/lease/src/tally.rs
@@ -1,7 +1,8 @@
 //! The controller's count of votes.
 //!
 //! A vote never loses its force, since the voter never supports that incarnation again. A monitor
-//! that is over counts as a vote against everybody once its last supports have surely run out.
+//! that is dead counts as a vote against everybody once its last supports have surely run out. One
+//! that left never does: its lease was live when its record said so, and it may not have read it.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -13,13 +14,13 @@
 
 use crate::timing::LeaseTiming;
 
-/// Votes that the controller has been told, and when it first read that monitors were over.
-#[derive(Clone, Debug)]
+/// Votes that the controller has been told, and when it first read that monitors were dead.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct VoteTally {
     timing: LeaseTiming,
     /// Voters by target.
     votes: BTreeMap<AgentId, BTreeSet<AgentId>>,
-    /// When each incarnation was first known to be over.
+    /// When each incarnation was first known to be dead.
     over: BTreeMap<AgentId, Millis>,
 }
 
@@ -44,7 +45,9 @@
         self
     }
 
-    /// Returns the tally with an incarnation known to be over since `now` at the latest.
+    /// Returns the tally with an incarnation known to be dead since `now` at the latest.
+    ///
+    /// Not for one that left: no votes have ended its lease.
     #[must_use]
     pub fn with_over(mut self, now: Millis, id: &AgentId) -> Self {
         self.over.entry(id.clone()).or_insert(now);
@@ -74,7 +77,7 @@
         set.monitors.iter().filter(counts).count() >= set.vote_quorum()
     }
 
-    /// Whether a monitor has been over for so long that nobody counts on its supports.
+    /// Whether a monitor has been dead for so long that nobody counts on its supports.
     fn is_void(&self, now: Millis, monitor: &AgentId) -> bool {
         let wait_ms = self.timing.over_wait_ms();
         let over = self.over.get(monitor);
--- a/crates/lease/src/timing.rs
+++ b/crates/lease/src/timing.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 
 /// Periods of the lease protocol, in milliseconds. All agents of a fleet use the same.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LeaseTiming {
     /// A support lasts this long on the holder's clock.
--- a/crates/testutils/src/lease_check/settings.rs
+++ b/crates/testutils/src/lease_check/settings.rs
@@ -98,7 +98,8 @@
         let settings = match rule {
             BrokenRule::SupportWithoutLease
             | BrokenRule::WaitWithoutGrace
-            | BrokenRule::WaitWithoutDrift => Self::isolating(),
+            | BrokenRule::WaitWithoutDrift
+            | BrokenRule::LeftCounted => Self::isolating(),
             _ => Self::mixed(seed),
         };
         let broken = Some(rule);
--- a/crates/types/src/member.rs
+++ b/crates/types/src/member.rs
@@ -59,7 +59,7 @@
 }
 
 /// The monitors of an agent: every one of them may support its lease or vote against it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct MonitorSet {
     /// Grows with every change of the set.
     pub epoch: u64,
