--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -14,11 +14,18 @@
 }
 
 /// All subcommands.
-const COMMANDS: &[BenchCommand] = &[BenchCommand {
-    name: "lease-check",
-    help: "random schedules of the lease protocol, and each rule broken on purpose",
-    run: lease::check,
-}];
+const COMMANDS: &[BenchCommand] = &[
+    BenchCommand {
+        name: "lease-check",
+        help: "random schedules of the lease protocol, and each rule broken on purpose",
+        run: lease::check,
+    },
+    BenchCommand {
+        name: "lease-exhaustive",
+        help: "every course of small instances of the lease protocol",
+        run: lease::exhaustive,
+    },
+];
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
--- a/crates/testutils/src/lease_check/mod.rs
+++ b/crates/testutils/src/lease_check/mod.rs
@@ -8,12 +8,14 @@
 pub mod clock;
 pub mod controller;
 mod effects;
+pub mod exhaustive;
 pub mod fault;
 pub mod network;
 pub mod node;
 pub mod outcome;
 pub mod placement;
 pub mod queue;
+pub mod search;
 pub mod settings;
 pub mod store;
 pub mod world;
