--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -29,6 +29,7 @@
         help: "both deployments as processes: load, an owner lost, an agent that leaves",
         run: demo::run,
     },
+    BenchCommand {},
     BenchCommand {
         name: "lease-check",
         help: "random schedules of the lease protocol, and each rule broken on purpose",
@@ -44,6 +45,11 @@
         help: "faults on real processes: owner, loss, outage, zone-out, answers, once, ...",
         run: trials::run,
     },
+    BenchCommand {
+        name: "lease-exhaustive",
+        help: "every course of small instances of the lease protocol",
+        run: lease::exhaustive,
+    },
 ];
 
 fn main() -> ExitCode {
