--- a/crates/bench/src/plan.rs
+++ b/crates/bench/src/plan.rs
@@ -163,7 +163,6 @@
             service("registry", false),
             service("catalogue", false),
         ],
-        accepted: None,
         token: 1,
         accepted: None,
     }
@@ -182,7 +181,6 @@
             service("orderbook", false),
             service("cataloguer", false),
         ],
-        accepted: None,
         token: 2,
         accepted: None,
     }
