--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,10 +1,12 @@
 //! Timed trials, checks by many seeds and figures behind `jybench`.
 
 pub mod args;
+pub mod assignment;
 pub mod call;
 pub mod demo;
 pub mod fleet;
 pub mod journal_check;
+pub mod lease;
 pub mod load;
 pub mod node;
 pub mod plan;
@@ -23,3 +25,13 @@
 pub mod runner;
 pub mod socket_owner;
 pub mod tally;
+pub mod trial;
+pub mod trial_answers;
+pub mod trial_config;
+pub mod trial_loss;
+pub mod trial_once;
+pub mod trial_outage;
+pub mod trial_owner;
+pub mod trial_restart;
+pub mod trial_zone;
+pub mod trials;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,8 +4,10 @@
 
 use anyhow::Result;
 use jy_bench::demo;
+use jy_bench::lease;
 use jy_bench::policy;
 use jy_bench::report;
+use jy_bench::trials;
 
 /// One subcommand: its name, one line of help, and what it runs with the arguments after it.
 struct BenchCommand {
@@ -21,11 +23,21 @@
         help: "both deployments as processes: load, an owner lost, an agent that leaves",
         run: demo::run,
     },
+    BenchCommand {
+        name: "lease-check",
+        help: "random schedules of the lease protocol, and each rule broken on purpose",
+        run: lease::check,
+    },
     BenchCommand {
         name: "policy",
         help: "tail, overload, cold start and retries in virtual time, beside a baseline",
         run: policy::run,
     },
+    BenchCommand {
+        name: "trial",
+        help: "faults on real processes: owner, loss, outage, zone-out, answers, once, ...",
+        run: trials::run,
+    },
 ];
 
 fn main() -> ExitCode {
--- a/crates/bench/src/plan.rs
+++ b/crates/bench/src/plan.rs
@@ -164,7 +164,6 @@
             service("catalogue", false),
         ],
         token: 1,
-        accepted: None,
     }
 }
 
@@ -182,7 +181,6 @@
             service("cataloguer", false),
         ],
         token: 2,
-        accepted: None,
     }
 }
 
--- a/crates/control/src/fake_fleet.rs
+++ b/crates/control/src/fake_fleet.rs
@@ -332,6 +332,5 @@
         zones_out: Vec::new(),
         services: (0..settings.services).map(spec).collect(),
         token: 0,
-        accepted: None,
     }
 }
