--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -29,7 +29,6 @@
         help: "both deployments as processes: load, an owner lost, an agent that leaves",
         run: demo::run,
     },
-    BenchCommand {},
     BenchCommand {
         name: "lease-check",
         help: "random schedules of the lease protocol, and each rule broken on purpose",
