--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod lease;
 pub mod load;
 pub mod node;
+pub mod placement;
+pub mod placement_figures;
 pub mod plan;
 pub mod policy;
 pub mod policy_agents;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,6 +6,7 @@
 use jy_bench::config_race;
 use jy_bench::demo;
 use jy_bench::lease;
+use jy_bench::placement;
 use jy_bench::policy;
 use jy_bench::report;
 use jy_bench::trials;
@@ -49,6 +50,11 @@
         help: "every course of small instances of the lease protocol",
         run: lease::exhaustive,
     },
+    BenchCommand {
+        name: "placement",
+        help: "imbalance, churn and settling of the placement in a fake fleet; sizes as arguments",
+        run: placement::run,
+    },
 ];
 
 fn main() -> ExitCode {
