lease, bench: recorded traces with outcomes, single faults and cost of the protocol

Change: jy_lease::replay replays one agent's lease and works out answers, votes and verdicts anew; ten traces under traces/lease, recorded by jybench lease-record. jybench lease-faults runs ten single faults and the loss of a zone and a rack under five variants; lease-cost times the steps.

--- a/crates/bench/src/lease.rs
+++ b/crates/bench/src/lease.rs
@@ -8,9 +8,6 @@
 use getopts::Matches;
 use getopts::Options;
 use jy_lease::rule::BrokenRule;
-use jy_testutils::lease_check::exhaustive::SearchCase;
-use jy_testutils::lease_check::exhaustive::SearchOutcome;
-use jy_testutils::lease_check::exhaustive::search;
 use jy_testutils::lease_check::outcome::CheckOutcome;
 use jy_testutils::lease_check::settings::CheckSettings;
 use jy_testutils::lease_check::world::run_random;
@@ -28,10 +25,10 @@
 const ISOLATED_SHARE: u64 = 5;
 
 /// Options that every lease command takes.
-struct LeaseOptions {
-    schedules: u64,
-    seed: u64,
-    out: Option<PathBuf>,
+pub(crate) struct LeaseOptions {
+    pub(crate) schedules: u64,
+    pub(crate) seed: u64,
+    pub(crate) out: Option<PathBuf>,
 }
 
 impl LeaseOptions {
@@ -40,7 +37,7 @@
     /// # Errors
     ///
     /// If an option is unknown or not a number.
-    fn new(arguments: &[String], schedules: u64) -> Result<Self> {
+    pub(crate) fn new(arguments: &[String], schedules: u64) -> Result<Self> {
         let mut options = Options::new();
         options.optopt("", "schedules", "schedules to run", "N");
         options.optopt("", "seed", "seed of the first schedule", "N");
@@ -59,7 +56,7 @@
 /// # Errors
 ///
 /// If the option's value is not a number.
-fn number_of(matches: &Matches, name: &str, usual: u64) -> Result<u64> {
+pub(crate) fn number_of(matches: &Matches, name: &str, usual: u64) -> Result<u64> {
     let number = matches.opt_get(name);
     let number = number.with_context(|| format!("--{name} must be a number"))?;
     Ok(number.unwrap_or(usual))
@@ -70,7 +67,7 @@
 /// # Panics
 ///
 /// If a schedule does.
-fn run_seeds<F>(first: u64, count: u64, run: F) -> CheckOutcome
+pub(crate) fn run_seeds<F>(first: u64, count: u64, run: F) -> CheckOutcome
 where
     F: Fn(u64) -> CheckOutcome + Sync,
 {
@@ -105,7 +102,7 @@
     let run = |seed| run_random(&CheckSettings::mixed(seed), seed);
     let outcome = run_seeds(options.seed, options.schedules, run);
     table.rows.extend(check_rows("mixed faults", &outcome));
-    let run = |seed| run_random(&CheckSettings::isolating(), seed);
+    let run = |seed| run_random(&CheckSettings::isolating(seed), seed);
     let isolated = run_seeds(
         options.seed,
         options.schedules.div_ceil(ISOLATED_SHARE),
@@ -155,64 +152,3 @@
         ),
     ]
 }
-
-/// `lease-exhaustive`: every course of small instances, and rules broken on purpose.
-///
-/// # Errors
-///
-/// If the arguments are wrong.
-pub fn exhaustive(arguments: &[String]) -> Result<FigureTable> {
-    let mut options = Options::new();
-    options.optopt("", "moves", "longest course", "N");
-    options.optopt("", "seed", "taken and unused: nothing is drawn", "N");
-    options.optopt("", "out", "also write the figures as JSON", "FILE");
-    let matches = options.parse(arguments)?;
-    let moves = number_of(&matches, "moves", SEARCH_MOVES)?;
-    let title = format!("lease-exhaustive: all courses of up to {moves} moves");
-    let mut table = FigureTable::new(title, matches.opt_str("out").map(PathBuf::from));
-    for case in SearchCase::ALL {
-        let outcome = search(case, moves as usize, None);
-        table
-            .rows
-            .extend(search_rows(&format!("{case:?}"), outcome, true));
-    }
-    for (case, rule) in SEARCHED_RULES {
-        let outcome = search(case, moves as usize, Some(rule));
-        let name = format!("{case:?} with {rule:?} broken");
-        table.rows.extend(search_rows(&name, outcome, false));
-    }
-    Ok(table)
-}
-
-/// Longest course of the exhaustive search unless told otherwise.
-const SEARCH_MOVES: u64 = 11;
-
-/// Rules that the exhaustive search breaks, each with the case that it shows in.
-const SEARCHED_RULES: [(SearchCase, BrokenRule); 7] = [
-    (SearchCase::FixedSet, BrokenRule::RenewAfterVote),
-    (SearchCase::FixedSet, BrokenRule::ShortPromise),
-    (SearchCase::FixedSet, BrokenRule::SupportFromReply),
-    (SearchCase::ChangedSet, BrokenRule::NoJointSet),
-    (SearchCase::LateChange, BrokenRule::ChangeAfterVerdict),
-    (SearchCase::DeadMonitor, BrokenRule::SupportWithoutLease),
-    (SearchCase::DeadMonitor, BrokenRule::WaitWithoutGrace),
-];
-
-/// Rows of one search.
-fn search_rows(name: &str, outcome: SearchOutcome, is_whole: bool) -> Vec<FigureRow> {
-    let row = |what: &str, value: u64| {
-        let name = format!("{name}: {what}");
-        FigureRow::new(name, value as f64, "states")
-    };
-    let found = row("unsafe", outcome.unsafe_states);
-    let found = if is_whole {
-        found.with_at_most(0.0)
-    } else {
-        found.with_at_least(1.0)
-    };
-    vec![
-        row("states", outcome.states),
-        row("after a verdict", outcome.verdicts).with_at_least(1.0),
-        found,
-    ]
-}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,6 +4,10 @@
 
 use anyhow::Result;
 use jy_bench::lease;
+use jy_bench::lease_cost;
+use jy_bench::lease_faults;
+use jy_bench::lease_search;
+use jy_bench::lease_traces;
 use jy_bench::report;
 
 /// One subcommand: its name, one line of help, and what it runs with the arguments after it.
@@ -23,7 +27,22 @@
     BenchCommand {
         name: "lease-exhaustive",
         help: "every course of small instances of the lease protocol",
-        run: lease::exhaustive,
+        run: lease_search::exhaustive,
+    },
+    BenchCommand {
+        name: "lease-faults",
+        help: "single faults, for each choice of the lease protocol's design",
+        run: lease_faults::faults,
+    },
+    BenchCommand {
+        name: "lease-cost",
+        help: "processor time and bytes of the lease protocol",
+        run: lease_cost::cost,
+    },
+    BenchCommand {
+        name: "lease-record",
+        help: "records the traces of the lease protocol into --dir",
+        run: lease_traces::record,
     },
 ];
 
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod holder;
 pub mod monitor;
+pub mod replay;
 pub mod rule;
 pub mod tally;
 pub mod timing;
--- a/crates/lease/tests/test_check.rs
+++ b/crates/lease/tests/test_check.rs
@@ -19,7 +19,7 @@
 }
 
 /// First seed of the rule that shows seldom; `jybench lease-check` prints one.
-const DRIFT_SEED: u64 = 3_186;
+const DRIFT_SEED: u64 = 480;
 
 /// Counts unsafe schedules among a few seeds with a rule broken.
 fn unsafe_with(rule: BrokenRule, first: u64) -> u64 {
@@ -50,7 +50,7 @@
 
 #[gtest]
 fn run_random_isolated_monitor_safe() {
-    let outcome = sum(|seed| run_random(&CheckSettings::isolating(), seed));
+    let outcome = sum(|seed| run_random(&CheckSettings::isolating(seed), seed));
     expect_that!(outcome.unsafe_seed, none());
     expect_that!(outcome.verdicts, gt(SEEDS.end / 2));
     expect_that!(outcome.missed, eq(0));
--- a/crates/lease/tests/test_exhaustive.rs
+++ b/crates/lease/tests/test_exhaustive.rs
@@ -36,6 +36,11 @@
     expect_safe(SearchCase::DeadMonitor);
 }
 
+#[gtest]
+fn search_late_death_safe() {
+    expect_safe(SearchCase::LateDeath);
+}
+
 #[gtest]
 fn search_short_promise_unsafe() {
     let rule = Some(BrokenRule::ShortPromise);
--- a/crates/testutils/src/lease_check/clock.rs
+++ b/crates/testutils/src/lease_check/clock.rs
@@ -1,10 +1,17 @@
 //! A process's clock that runs fast or slow against real time.
 
 use jy_types::time::Millis;
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use super::settings::CheckSettings;
 
 /// Parts of a rate.
 const PARTS: u64 = 1_000_000;
 
+/// What clocks show at real time zero.
+const OFFSETS_MS: std::ops::Range<u64> = 10_000..1_000_000;
+
 /// A clock with a constant drift.
 #[derive(Clone, Copy, Debug)]
 pub struct DriftClock {
@@ -22,6 +29,20 @@
         }
     }
 
+    /// Draws a clock; `is_slow` decides where drifts are opposed.
+    #[must_use]
+    pub fn draw(settings: &CheckSettings, is_slow: bool, rng: &mut StdRng) -> Self {
+        let most = settings.drift_ppm;
+        let drift = match rng.random_range(0..3) {
+            _ if settings.opposed_drift && is_slow => -most,
+            _ if settings.opposed_drift => most,
+            0 => -most,
+            1 => most,
+            _ => rng.random_range(-most..=most),
+        };
+        Self::new(rng.random_range(OFFSETS_MS), drift)
+    }
+
     /// What the clock shows at a real time.
     #[must_use]
     pub const fn local(&self, real: u64) -> Millis {
--- a/crates/testutils/src/lease_check/controller.rs
+++ b/crates/testutils/src/lease_check/controller.rs
@@ -51,6 +51,8 @@
 
 /// A write without an answer is given up after this time.
 const WRITE_TIMEOUT_MS: u64 = 1_000;
+/// A controller gets to know the fleet for this long before it appoints anybody.
+const GATHER_MS: u64 = 1_500;
 /// An agent that reported within this time answers.
 const ANSWERS_MS: u64 = 3_000;
 
@@ -61,6 +63,7 @@
     pub clock: DriftClock,
     /// Real time until which the process is stopped.
     pub frozen_until: u64,
+    appoints_at: Option<Millis>,
     tally: VoteTally,
     view: BTreeMap<AgentId, StoredRecord>,
     reports: BTreeMap<AgentId, (Millis, u64)>,
@@ -80,6 +83,7 @@
         Self {
             clock,
             frozen_until: 0,
+            appoints_at: None,
             tally: VoteTally::new(timing),
             view: BTreeMap::new(),
             reports: BTreeMap::new(),
@@ -113,6 +117,13 @@
         Vec::new()
     }
 
+    /// Returns a record as the controller knows it, unless the agent is over.
+    #[must_use]
+    pub fn open_record(&self, id: &AgentId) -> Option<&StoredRecord> {
+        let stored = self.view.get(id);
+        stored.filter(|stored| !stored.record.state.is_over())
+    }
+
     fn take_record(&mut self, now: Millis, stored: StoredRecord) {
         let id = stored.record.id.clone();
         let known = self.view.get(&id).map_or(0, |known| known.revision);
@@ -135,6 +146,10 @@
     /// Decides on every member that has no write under way.
     fn decide(&mut self, now: Millis, rng: &mut StdRng) -> Vec<StoreWrite> {
         let mut writes = Vec::new();
+        let appoints_at = *self.appoints_at.get_or_insert(now.plus(GATHER_MS));
+        if now < appoints_at {
+            return writes;
+        }
         let ids: Vec<AgentId> = self.view.keys().cloned().collect();
         for id in ids {
             let stored = self.view[&id].clone();
--- a/crates/testutils/src/lease_check/exhaustive.rs
+++ b/crates/testutils/src/lease_check/exhaustive.rs
@@ -24,15 +24,18 @@
     LateChange,
     /// One monitor's own lease is over, and it is found dead while it runs.
     DeadMonitor,
+    /// The same long after the monitor was found dead, with nothing sent before.
+    LateDeath,
 }
 
 impl SearchCase {
     /// All cases.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 5] = [
         Self::FixedSet,
         Self::ChangedSet,
         Self::LateChange,
         Self::DeadMonitor,
+        Self::LateDeath,
     ];
 }
 
--- a/crates/testutils/src/lease_check/fault.rs
+++ b/crates/testutils/src/lease_check/fault.rs
@@ -192,7 +192,7 @@
 }
 
 /// Draws the loss of a whole zone and of a rack in another.
-fn draw_zone_and_rack(settings: &CheckSettings, rng: &mut StdRng) -> Vec<Fault> {
+pub fn draw_zone_and_rack(settings: &CheckSettings, rng: &mut StdRng) -> Vec<Fault> {
     let zone = rng.random_range(0..settings.zones);
     let other = (zone + 1) % settings.zones;
     let rack = rng.random_range(0..settings.racks);
--- a/crates/testutils/src/lease_check/mod.rs
+++ b/crates/testutils/src/lease_check/mod.rs
@@ -5,6 +5,7 @@
 //! which one may be stale. The invariant: no incarnation admits requests after the verdict on it
 //! took effect.
 
+pub mod cases;
 pub mod clock;
 pub mod controller;
 mod effects;
@@ -15,6 +16,8 @@
 pub mod outcome;
 pub mod placement;
 pub mod queue;
+pub mod record;
+pub mod recorder;
 pub mod search;
 pub mod settings;
 pub mod store;
--- a/crates/testutils/src/lease_check/network.rs
+++ b/crates/testutils/src/lease_check/network.rs
@@ -53,6 +53,12 @@
         Self(Machine::Controller(0).bit() | Machine::Controller(1).bit())
     }
 
+    /// A side of the store.
+    #[must_use]
+    pub const fn of_store() -> Self {
+        Self(Machine::Store.bit())
+    }
+
     /// This side and another.
     #[must_use]
     pub const fn with(self, other: Self) -> Self {
--- a/crates/testutils/src/lease_check/node.rs
+++ b/crates/testutils/src/lease_check/node.rs
@@ -18,6 +18,7 @@
 use jy_types::time::Millis;
 
 use super::clock::DriftClock;
+use super::recorder::NodeStep;
 use super::settings::CheckSettings;
 use super::settings::OverRule;
 use super::store::StoreWrite;
@@ -106,6 +107,8 @@
     pub behind_until: u64,
     /// Real time of the next tick that is queued.
     pub tick_queued: Option<u64>,
+    /// Steps for a trace, if one is recorded.
+    pub steps: Option<Vec<NodeStep>>,
     holder: StateCell<HolderState>,
     monitor: StateCell<MonitorState>,
     own_until: Millis,
@@ -147,6 +150,7 @@
             frozen_until: 0,
             behind_until: 0,
             tick_queued: None,
+            steps: None,
             own_until: Millis(0),
             read_until: Millis(0),
             read_at: Millis(0),
@@ -320,6 +324,9 @@
     }
 
     fn step_holder(&mut self, now: Millis, event: HolderEvent) -> Vec<NodeOutput> {
+        if let Some(steps) = &mut self.steps {
+            steps.push(NodeStep::Holder(now, event.clone()));
+        }
         let actions = self.holder.step(|holder| holder.step(now, event));
         self.tell_monitor(now);
         let output = |action| {
@@ -349,6 +356,9 @@
     }
 
     fn step_monitor(&mut self, now: Millis, event: MonitorEvent) -> Vec<NodeOutput> {
+        if let Some(steps) = &mut self.steps {
+            steps.push(NodeStep::Monitor(now, event.clone()));
+        }
         let actions = self.monitor.step(|monitor| monitor.step(now, event));
         let renews_always = self.broken == Some(BrokenRule::RenewAfterVote);
         let output = |action| match action {
--- a/crates/testutils/src/lease_check/search.rs
+++ b/crates/testutils/src/lease_check/search.rs
@@ -43,6 +43,8 @@
 const DEAD: usize = 2;
 /// End of that monitor's own lease.
 const DEAD_LEASE: Millis = Millis(1);
+/// Beginning of the late course after that.
+const LATE: u64 = 5;
 /// Monitors of the first set.
 const FIRST_SET: std::ops::Range<usize> = 0..3;
 /// Monitors of the second set.
@@ -146,6 +148,11 @@
             }
             SearchCase::LateChange => state.now = MONITOR_TIMING.promise_ms(),
             SearchCase::DeadMonitor => state.now = DEAD_LEASE.0,
+            SearchCase::LateDeath => {
+                state.now = DEAD_LEASE.0;
+                state = state.after(Move::FindDead);
+                state.now = LATE;
+            }
         }
         state
     }
@@ -169,7 +176,8 @@
         let timing = BrokenRule::monitor_timing(broken, MONITOR_TIMING);
         let supports_always = broken == Some(BrokenRule::SupportWithoutLease);
         let start = |(index, watches): (usize, &bool)| {
-            let is_lapsing = case == SearchCase::DeadMonitor && index == DEAD;
+            let is_lapsing =
+                index == DEAD && matches!(case, SearchCase::DeadMonitor | SearchCase::LateDeath);
             let until = if is_lapsing && !supports_always {
                 DEAD_LEASE
             } else {
--- a/crates/testutils/src/lease_check/settings.rs
+++ b/crates/testutils/src/lease_check/settings.rs
@@ -46,6 +46,8 @@
     pub network: NetworkProfile,
     /// Largest drift of a clock either way, in parts per million.
     pub drift_ppm: i64,
+    /// Whether instances of even number are as slow as allowed, all else as fast.
+    pub opposed_drift: bool,
     /// Real time at which the rough network ends, in milliseconds.
     pub rough_until: u64,
     /// Length of a schedule in real milliseconds.
@@ -81,10 +83,12 @@
         }
     }
 
-    /// Settings in which monitors are found over while an agent still reaches them.
+    /// Settings in which monitors are found over while an agent still reaches them; for even seeds
+    /// with opposed drifts.
     #[must_use]
-    pub fn isolating() -> Self {
+    pub fn isolating(seed: u64) -> Self {
         Self {
+            opposed_drift: seed.is_multiple_of(2),
             agents: 4,
             network: NetworkProfile::calm(),
             drift_ppm: LARGEST_DRIFT_PPM,
@@ -99,11 +103,14 @@
             BrokenRule::SupportWithoutLease
             | BrokenRule::WaitWithoutGrace
             | BrokenRule::WaitWithoutDrift
-            | BrokenRule::LeftCounted => Self::isolating(),
+            | BrokenRule::LeftCounted => Self::isolating(seed),
             _ => Self::mixed(seed),
         };
-        let broken = Some(rule);
-        Self { broken, ..settings }
+        Self {
+            broken: Some(rule),
+            opposed_drift: settings.opposed_drift || rule == BrokenRule::WaitWithoutDrift,
+            ..settings
+        }
     }
 
     /// Settings of a calm network, to see what single faults do.
@@ -132,6 +139,7 @@
             reads_own_record: true,
             network: NetworkProfile::rough(),
             drift_ppm: 10_000,
+            opposed_drift: false,
             rough_until: 20_000,
             length: 38_000,
             broken: None,
--- a/crates/testutils/src/lease_check/world.rs
+++ b/crates/testutils/src/lease_check/world.rs
@@ -22,6 +22,7 @@
 use super::node::NodeOutput;
 use super::outcome::CheckOutcome;
 use super::queue::EventQueue;
+use super::recorder::TraceRecorder;
 use super::settings::CheckSettings;
 use super::store::ModelStore;
 use super::store::StoreWrite;
@@ -74,6 +75,8 @@
     pub(super) cuts: Vec<CutSpan>,
     pub(super) outcome: CheckOutcome,
     pub(super) is_unsafe: bool,
+    pub(super) recorded_slot: Option<usize>,
+    pub(super) recorder: Option<TraceRecorder>,
 }
 
 /// Runs a schedule of random faults.
@@ -88,7 +91,7 @@
 
 impl World {
     /// Sets up a schedule.
-    fn new(settings: CheckSettings, faults: Vec<TimedFault>, rng: StdRng) -> Self {
+    pub(super) fn new(settings: CheckSettings, faults: Vec<TimedFault>, rng: StdRng) -> Self {
         let mut world = Self {
             settings,
             rng,
@@ -106,9 +109,11 @@
                 ..CheckOutcome::default()
             },
             is_unsafe: false,
+            recorded_slot: None,
+            recorder: None,
         };
         for controller in 0..world.settings.controllers {
-            let clock = world.draw_clock();
+            let clock = DriftClock::draw(&world.settings, false, &mut world.rng);
             let model = ModelController::new(&world.settings, clock);
             world.controllers.push(model);
             world.queue.push(1, WorldEvent::ControllerTick(controller));
@@ -126,6 +131,12 @@
 
     /// Runs to the end.
     fn run(mut self) -> CheckOutcome {
+        self.play();
+        self.finish()
+    }
+
+    /// Lets everything happen.
+    pub(super) fn play(&mut self) {
         while let Some((at, event)) = self.queue.pop() {
             if at > self.settings.length {
                 break;
@@ -133,7 +144,6 @@
             self.now = at;
             self.handle(event);
         }
-        self.finish()
     }
 
     fn handle(&mut self, event: WorldEvent) {
@@ -150,16 +160,6 @@
         }
     }
 
-    fn draw_clock(&mut self) -> DriftClock {
-        let most = self.settings.drift_ppm;
-        let drift = match self.rng.random_range(0..3) {
-            0 => -most,
-            1 => most,
-            _ => self.rng.random_range(-most..=most),
-        };
-        DriftClock::new(self.rng.random_range(10_000..1_000_000), drift)
-    }
-
     /// Starts a new incarnation, which writes its own record.
     fn start(&mut self, slot: usize) {
         let index = self.nodes.len();
@@ -167,9 +167,11 @@
         let place = self.settings.place_of(slot);
         let record = Arc::new(joining_record(id, place));
         self.store.announce(record.clone());
-        let clock = self.draw_clock();
+        let is_slow = slot.is_multiple_of(2);
+        let clock = DriftClock::draw(&self.settings, is_slow, &mut self.rng);
         let node = ModelNode::new(&self.settings, record, slot, clock, self.now);
         self.nodes.push(node);
+        self.record_node(index);
         self.killed_at.push(None);
         self.verdict_at.push(None);
         for known in 0..index {
@@ -212,6 +214,7 @@
             return;
         }
         let outputs = node.take(self.now, input);
+        self.record_steps(index);
         self.check(index);
         for output in outputs {
             self.perform(index, output);
@@ -269,6 +272,8 @@
             self.queue.push(at, WorldEvent::Controller(index, input));
             return;
         }
+        self.record_controller(index, &input);
+        let controller = &mut self.controllers[index];
         let writes = controller.take(self.now, input, &mut self.rng);
         for write in writes {
             self.send_write(Machine::Controller(index), write);
