bench: figures of leases without reads of the own record

Cause: the agents' shell does not read its own record yet, and the figures assumed it. Ruled out: leaving the read out of the model, since it is what lets a fleet start slowly.

--- a/crates/bench/src/lease_faults.rs
+++ b/crates/bench/src/lease_faults.rs
@@ -30,15 +30,30 @@
     monitors: usize,
     over_rule: OverRule,
     grace_ms: u64,
+    reads_own_record: bool,
 }
 
 /// The choices; the first is the one in force.
-const VARIANTS: [LeaseVariant; 5] = [
+const VARIANTS: [LeaseVariant; 7] = [
     variant("3 monitors, grace 4 s", 3, OverRule::Counted, 4_000),
     variant("3 monitors, grace 1 s", 3, OverRule::Counted, 1_000),
     variant("3 monitors, coupled", 3, OverRule::Counted, 0),
     variant("3 monitors, plain", 3, OverRule::Plain, 0),
     variant("5 monitors, grace 4 s", 5, OverRule::Counted, 4_000),
+    variant(
+        "3 monitors, grace 4 s, no reads",
+        3,
+        OverRule::Counted,
+        4_000,
+    )
+    .without_reads(),
+    variant(
+        "3 monitors, grace 1 s, no reads",
+        3,
+        OverRule::Counted,
+        1_000,
+    )
+    .without_reads(),
 ];
 
 const fn variant(
@@ -52,10 +67,17 @@
         monitors,
         over_rule,
         grace_ms,
+        reads_own_record: true,
     }
 }
 
 impl LeaseVariant {
+    /// An agent without a lease does not read its own record.
+    const fn without_reads(mut self) -> Self {
+        self.reads_own_record = false;
+        self
+    }
+
     /// Settings of a case under this choice.
     fn settings(&self, case: FaultCase) -> CheckSettings {
         let timing = LeaseTiming {
@@ -65,6 +87,7 @@
         CheckSettings {
             monitors: self.monitors,
             over_rule: self.over_rule,
+            reads_own_record: self.reads_own_record,
             timing,
             ..CheckSettings::calm(AGENTS, case.draw)
         }
