replay: traces of the lease area

Cause: the lease area gained a replay and traces; records of members gained a field meanwhile. Ruled out: nothing else. Change: the area is known to jyreplay, its records name no replaced incarnation. Conclusion: all four areas replay by one command.

--- a/crates/control/src/fake_fleet.rs
+++ b/crates/control/src/fake_fleet.rs
@@ -327,6 +327,5 @@
         services: (0..settings.services).map(spec).collect(),
         accepted: None,
         token: 0,
-        accepted: None,
     }
 }
--- a/crates/lease/src/replay.rs
+++ b/crates/lease/src/replay.rs
@@ -302,5 +302,6 @@
         monitors,
         next_monitors: next,
         term: 0,
+        replaces: Vec::new(),
     }
 }
--- a/crates/replay/src/areas.rs
+++ b/crates/replay/src/areas.rs
@@ -8,8 +8,9 @@
 type ReplayFn = fn(&str, &str) -> Result<FigureMap>;
 
 /// Decisions by area.
-pub const AREAS: [(&str, ReplayFn); 3] = [
+pub const AREAS: [(&str, ReplayFn); 4] = [
     ("control", jy_control::replay::replay),
+    ("lease", jy_lease::replay::replay),
     ("gate", jy_gate::replay::replay),
     ("route", jy_route::replay::replay),
 ];
