--- /dev/null
+++ b/crates/agent/tests/test_exchange.rs
@@ -0,0 +1,105 @@
+//! What is read of a request and written of a reply.
+
+use actix_http::Method;
+use actix_http::Request;
+use actix_http::header::HeaderMap;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
+use actix_http::test::TestRequest;
+use googletest::prelude::*;
+use jy_agent::exchange::ExchangeReply;
+use jy_agent::exchange::RequestExchange;
+use jy_agent::exchange::read_refusal;
+use jy_types::request::ProblemDetails;
+use jy_types::request::Refusal;
+use jy_types::request::RefusalKind;
+use jy_types::request::RunState;
+use jy_types::time::WallMillis;
+
+/// Makes a request.
+fn request(path: &str, headers: &[(&'static str, &'static str)]) -> Request {
+    let mut request = TestRequest::default();
+    request.uri(path).method(Method::POST);
+    for header in headers {
+        request.insert_header(*header);
+    }
+    request.finish()
+}
+
+/// Reads a request.
+fn read(path: &str, headers: &[(&'static str, &'static str)]) -> Result<RequestExchange, Refusal> {
+    RequestExchange::new(&request(path, headers), WallMillis(7))
+}
+
+#[gtest]
+fn new_reads_path_target() -> googletest::Result<()> {
+    let exchange = read("/w/seals/verifier/serials/1?x=2", &[("jy-key", "k")])
+        .ok()
+        .or_fail()?;
+    expect_that!(&*exchange.workspace, eq("seals"));
+    expect_that!(&*exchange.service, eq("verifier"));
+    expect_that!(&*exchange.path, eq("/serials/1?x=2"));
+    expect_that!(exchange.bare_path(), eq("/serials/1"));
+    expect_that!(exchange.key.as_deref(), some(eq("k")));
+    expect_that!(exchange.received, eq(WallMillis(7)));
+    Ok(())
+}
+
+#[gtest]
+fn new_refuses_missing_service() {
+    let refusal = read("/x", &[("jy-workspace", "seals")]).err();
+    let kind = refusal.map(|refusal| (refusal.kind, refusal.ran));
+    expect_that!(kind, some(eq((RefusalKind::BadRequest, RunState::No))));
+}
+
+#[gtest]
+fn new_names_odd_header() -> googletest::Result<()> {
+    let headers = [
+        ("jy-workspace", "a"),
+        ("jy-service", "b"),
+        ("jy-timeout-ms", "soon"),
+    ];
+    let refusal = read("/x", &headers).err().or_fail()?;
+    expect_that!(&*refusal.detail, contains_substring("jy-timeout-ms"));
+    Ok(())
+}
+
+#[gtest]
+fn new_passes_own_headers_not_on() -> googletest::Result<()> {
+    let headers = [
+        ("jy-key", "k"),
+        ("connection", "close"),
+        ("accept", "text/plain"),
+    ];
+    let exchange = read("/w/a/b/", &headers).ok().or_fail()?;
+    expect_true!(exchange.headers.contains_key("accept"));
+    expect_false!(exchange.headers.contains_key("connection"));
+    expect_false!(exchange.headers.contains_key("jy-key"));
+    Ok(())
+}
+
+#[gtest]
+fn digest_differs_by_body() -> googletest::Result<()> {
+    let exchange = read("/w/a/b/c", &[]).ok().or_fail()?;
+    let one = exchange.clone().with_body("1".into()).digest();
+    expect_that!(one, not(eq(exchange.with_body("2".into()).digest())));
+    Ok(())
+}
+
+#[gtest]
+fn refusal_survives_the_way_between_agents() -> googletest::Result<()> {
+    let refusal = Refusal::with_unknown_outcome("no answer");
+    let answer = ExchangeReply::Refused(refusal.clone()).into_answer("r-1", false);
+    let text = serde_json::to_string(&ProblemDetails::new(&refusal, "r-1")).or_fail()?;
+    let read = read_refusal(answer.headers(), text.as_bytes());
+    expect_that!(read, some(eq(&refusal)));
+    Ok(())
+}
+
+#[gtest]
+fn read_refusal_leaves_answers_alone() {
+    let mut headers = HeaderMap::new();
+    let name = HeaderName::from_static("content-type");
+    headers.insert(name, HeaderValue::from_static("application/problem+json"));
+    expect_that!(read_refusal(&headers, b"{}"), none());
+}
