--- /dev/null
+++ b/crates/agent/src/listeners.rs
@@ -0,0 +1,204 @@
+//! The agent's listeners and what they hand to the services.
+
+use std::rc::Rc;
+
+use actix_http::Request;
+use actix_http::header::HeaderName;
+use actix_http::header::HeaderValue;
+use actix_rt::task::JoinHandle;
+use anyhow::Result;
+use jy_config::agent::AgentSettings;
+use jy_control::api::ControlEvent;
+use jy_kernel::clock;
+use jy_kernel::registry::ServiceRegistry;
+use jy_types::request::IN_FLIGHT_HEADER;
+use jy_types::request::Refusal;
+use jy_types::request::RefusalKind;
+use serde_json::Value;
+
+use crate::backend;
+use crate::backend::BackendService;
+use crate::control;
+use crate::control::ControlService;
+use crate::exchange::ExchangeReply;
+use crate::exchange::RequestExchange;
+use crate::feed;
+use crate::feed::FeedService;
+use crate::gate;
+use crate::gate::GateService;
+use crate::gateway;
+use crate::gateway::GatewayService;
+use crate::http;
+use crate::http::Answer;
+use crate::http::BodyError;
+use crate::identity;
+use crate::lease;
+use crate::lease::LeaseService;
+use crate::metrics;
+use crate::operator;
+use crate::operator::OperatorService;
+use crate::rpc;
+use crate::rpc::PeerCall;
+use crate::shutdown::LeaveSignal;
+use crate::spread;
+use crate::spread::SpreadService;
+
+/// Starts the listeners and returns the callers' accept loop.
+///
+/// # Errors
+///
+/// If an address can't be listened on.
+pub async fn start_listeners(
+    registry: &ServiceRegistry,
+    settings: &Rc<AgentSettings>,
+    leave: &LeaveSignal,
+) -> Result<JoinHandle<()>> {
+    let listen = &settings.listen;
+    let caller = http::bind("listen.caller", listen.caller).await?;
+    let forward = http::bind("listen.peer_forward", listen.peer_forward).await?;
+    let announce = http::bind("listen.backend", listen.backend).await?;
+    let operators = http::bind("listen.operator", listen.operator).await?;
+    // The listener stops when its handle is dropped.
+    let handle = rpc::start(listen.peer_rpc, peer_handler(registry)?).await?;
+    registry.provide(rpc::SERVICE, Rc::new(handle))?;
+
+    let limits = || settings.limits.clone();
+    let gate = registry.find::<GateService>(gate::SERVICE)?;
+    let body_limit = settings.limits.body_bytes;
+    actix_rt::spawn(http::serve(forward, limits(), move |request| {
+        serve_forward(Rc::clone(&gate), request, body_limit)
+    }));
+    let announcements = registry.find::<BackendService>(backend::SERVICE)?;
+    actix_rt::spawn(http::serve(announce, limits(), move |request| {
+        Rc::clone(&announcements).handle(request)
+    }));
+    let operator = Rc::new(operator_service(registry, leave)?);
+    registry.provide(operator::SERVICE, Rc::clone(&operator))?;
+    actix_rt::spawn(http::serve(operators, limits(), move |request: Request| {
+        let operator = Rc::clone(&operator);
+        async move { operator.handle(&request) }
+    }));
+    let gateway = registry.find::<GatewayService>(gateway::SERVICE)?;
+    let closing = leave.clone();
+    Ok(actix_rt::spawn(http::serve(
+        caller,
+        limits(),
+        move |request| serve_caller(Rc::clone(&gateway), closing.clone(), request, body_limit),
+    )))
+}
+
+/// Makes the operators' service.
+///
+/// # Errors
+///
+/// If a service is missing.
+fn operator_service(registry: &ServiceRegistry, leave: &LeaveSignal) -> Result<OperatorService> {
+    Ok(OperatorService {
+        identity: registry.find(identity::SERVICE)?,
+        feed: registry.find(feed::SERVICE)?,
+        lease: registry.find(lease::SERVICE)?,
+        gate: registry.find(gate::SERVICE)?,
+        metrics: registry.find(metrics::SERVICE)?,
+        leave: leave.clone(),
+    })
+}
+
+/// Makes the handler of other agents' calls.
+///
+/// # Errors
+///
+/// If a service is missing.
+fn peer_handler(registry: &ServiceRegistry) -> Result<Rc<dyn Fn(PeerCall) -> Value>> {
+    let feed = registry.find::<FeedService>(feed::SERVICE)?;
+    let leases = registry.find::<LeaseService>(lease::SERVICE)?;
+    let controller = registry.find::<ControlService>(control::SERVICE)?;
+    let gate = registry.find::<GateService>(gate::SERVICE)?;
+    let spreader = registry.find::<SpreadService>(spread::SERVICE)?;
+    Ok(Rc::new(move |call| match call {
+        PeerCall::Renew(renewal) => to_value(&leases.on_renewal(renewal)),
+        PeerCall::Pull(pull) => to_value(&feed.batch_after(pull.after)),
+        PeerCall::Offer(offer) => {
+            spreader.on_revision(&offer.from, offer.revision);
+            Value::Bool(true)
+        }
+        PeerCall::Vote(vote) => {
+            controller.step(ControlEvent::Vote(vote));
+            Value::Bool(true)
+        }
+        PeerCall::Report(report) => {
+            controller.step(ControlEvent::Report(report));
+            Value::Bool(true)
+        }
+        PeerCall::Release(notice) => {
+            controller.step(ControlEvent::Released(notice));
+            Value::Bool(true)
+        }
+        PeerCall::Handover(handover) => {
+            gate.on_handover(handover);
+            Value::Bool(true)
+        }
+    }))
+}
+
+/// Writes a message as JSON.
+fn to_value(message: &impl serde::Serialize) -> Value {
+    serde_json::to_value(message).unwrap_or_default()
+}
+
+/// Answers a caller's request.
+async fn serve_caller(
+    gateway: Rc<GatewayService>,
+    leave: LeaveSignal,
+    request: Request,
+    body_limit: usize,
+) -> Answer {
+    let reply = match read_exchange(request, body_limit).await {
+        Ok(exchange) => {
+            let id = exchange.request_id.clone();
+            let reply = gateway.handle(exchange).await;
+            return reply.into_answer(&id, leave.is_closing());
+        }
+        Err(refusal) => ExchangeReply::Refused(refusal),
+    };
+    reply.into_answer("", true)
+}
+
+/// Answers a request that another agent forwarded.
+async fn serve_forward(gate: Rc<GateService>, request: Request, body_limit: usize) -> Answer {
+    let (id, reply) = match read_exchange(request, body_limit).await {
+        Ok(exchange) => {
+            let id = exchange.request_id.clone();
+            let left_ms = exchange.timeout_ms.unwrap_or_default();
+            let deadline = clock::now().plus(left_ms);
+            (id, gate.handle(Rc::new(exchange), deadline).await)
+        }
+        Err(refusal) => ("".into(), ExchangeReply::Refused(refusal)),
+    };
+    let mut answer = reply.into_answer(&id, false);
+    let load = HeaderValue::from(gate.load());
+    answer
+        .headers_mut()
+        .insert(HeaderName::from_static(IN_FLIGHT_HEADER), load);
+    answer
+}
+
+/// Reads a request whole.
+///
+/// # Errors
+///
+/// A refusal that tells what is wrong.
+async fn read_exchange(
+    mut request: Request,
+    body_limit: usize,
+) -> std::result::Result<RequestExchange, Refusal> {
+    let exchange = RequestExchange::new(&request, clock::wall_now())?;
+    let body = http::read_body(&mut request, body_limit).await;
+    let body = body.map_err(|error| {
+        let kind = match error {
+            BodyError::TooLarge { .. } => RefusalKind::BodyTooLarge,
+            BodyError::Cut { .. } => RefusalKind::BadRequest,
+        };
+        Refusal::new(kind, error.to_string())
+    })?;
+    Ok(exchange.with_body(body))
+}
--- /dev/null
+++ b/crates/agent/src/ties.rs
@@ -0,0 +1,83 @@
+//! Ties the services of an agent together: what changes of records, leases and roles set off.
+
+use std::rc::Rc;
+
+use anyhow::Result;
+use jy_kernel::registry::ServiceRegistry;
+
+use crate::control;
+use crate::control::ControlService;
+use crate::election;
+use crate::election::ElectionService;
+use crate::feed;
+use crate::feed::FeedService;
+use crate::gate;
+use crate::gate::GateService;
+use crate::gateway;
+use crate::gateway::GatewayService;
+use crate::lease;
+use crate::lease::LeaseService;
+use crate::member;
+use crate::member::MemberService;
+use crate::spread;
+use crate::spread::SpreadService;
+
+/// Ties the services to changes of the records.
+///
+/// # Errors
+///
+/// If a service is missing.
+pub fn tie_views(registry: &ServiceRegistry) -> Result<()> {
+    let feed = registry.find::<FeedService>(feed::SERVICE)?;
+    let leases = registry.find::<LeaseService>(lease::SERVICE)?;
+    let gate = registry.find::<GateService>(gate::SERVICE)?;
+    let gateway = registry.find::<GatewayService>(gateway::SERVICE)?;
+    let controller = registry.find::<ControlService>(control::SERVICE)?;
+    let candidate = registry.find::<ElectionService>(election::SERVICE)?;
+    let own = registry.find::<MemberService>(member::SERVICE)?;
+    let spreader = registry.find::<SpreadService>(spread::SERVICE)?;
+    feed.listen(Rc::new(move |view, changed| {
+        leases.on_view(view);
+        gate.on_view(view);
+        gateway.on_view(view);
+        controller.on_records(changed);
+        candidate.on_view();
+        own.on_view();
+        spreader.on_view(view);
+    }));
+    Ok(())
+}
+
+/// Ties the leases, the controller's role, releases and pulls.
+///
+/// # Errors
+///
+/// If a service is missing.
+pub fn tie_leases(registry: &ServiceRegistry) -> Result<()> {
+    let leases = registry.find::<LeaseService>(lease::SERVICE)?;
+    let gate = registry.find::<GateService>(gate::SERVICE)?;
+    let gateway = registry.find::<GatewayService>(gateway::SERVICE)?;
+    let controller = registry.find::<ControlService>(control::SERVICE)?;
+    let candidate = registry.find::<ElectionService>(election::SERVICE)?;
+    let spreader = registry.find::<SpreadService>(spread::SERVICE)?;
+
+    let listener = Rc::clone(&gate);
+    leases.listen(Rc::new(move |until| listener.on_lease(until)));
+    let voter = Rc::clone(&controller);
+    leases.on_vote(Rc::new(move |target| voter.send_vote(target)));
+    let puller = Rc::clone(&spreader);
+    leases.on_revision(Rc::new(move |from, revision| {
+        puller.on_revision(from, revision);
+    }));
+    gateway.on_pull(Rc::new(move || spreader.pull_any()));
+    let role = Rc::clone(&controller);
+    candidate.on_role(Rc::new(move |term| role.on_role(term)));
+    let owner = Rc::downgrade(&gate);
+    gate.on_release(Rc::new(move |units, entries| {
+        let service = owner.upgrade().and_then(|gate| gate.service());
+        if let Some(service) = service {
+            controller.release(service, units, entries);
+        }
+    }));
+    Ok(())
+}
--- a/crates/agent/tests/test_exchange.rs
+++ b/crates/agent/tests/test_exchange.rs
@@ -32,7 +32,7 @@
 }
 
 #[gtest]
-fn new_reads_path_target() -> googletest::Result<()> {
+fn new_reads_path_target() -> Result<()> {
     let exchange = read("/w/seals/verifier/serials/1?x=2", &[("jy-key", "k")])
         .ok()
         .or_fail()?;
@@ -53,7 +53,7 @@
 }
 
 #[gtest]
-fn new_names_odd_header() -> googletest::Result<()> {
+fn new_names_odd_header() -> Result<()> {
     let headers = [
         ("jy-workspace", "a"),
         ("jy-service", "b"),
@@ -65,7 +65,7 @@
 }
 
 #[gtest]
-fn new_passes_own_headers_not_on() -> googletest::Result<()> {
+fn new_passes_own_headers_not_on() -> Result<()> {
     let headers = [
         ("jy-key", "k"),
         ("connection", "close"),
@@ -79,7 +79,7 @@
 }
 
 #[gtest]
-fn digest_differs_by_body() -> googletest::Result<()> {
+fn digest_differs_by_body() -> Result<()> {
     let exchange = read("/w/a/b/c", &[]).ok().or_fail()?;
     let one = exchange.clone().with_body("1".into()).digest();
     expect_that!(one, not(eq(exchange.with_body("2".into()).digest())));
@@ -87,7 +87,7 @@
 }
 
 #[gtest]
-fn refusal_survives_the_way_between_agents() -> googletest::Result<()> {
+fn refusal_survives_the_way_between_agents() -> Result<()> {
     let refusal = Refusal::with_unknown_outcome("no answer");
     let answer = ExchangeReply::Refused(refusal.clone()).into_answer("r-1", false);
     let text = serde_json::to_string(&ProblemDetails::new(&refusal, "r-1")).or_fail()?;
