control: look at services only when their records change

Ruled out: a longer period of looks, which delays new owners. Change: a look at the services follows pages, workspaces, states of members, loads, releases and freed keys, not changes of monitors. Traces also bound lost monitors and agents watched by one. Conclusion: same decisions with fewer looks.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -2,6 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 
 use jy_feed::view::FleetView;
 use jy_feed::view::ServiceKey;
@@ -9,7 +12,9 @@
 use jy_types::member::MemberRecord;
 use jy_types::name::Name;
 use jy_types::peer::ReleaseNotice;
+use jy_types::record::Record;
 use jy_types::record::RecordBatch;
+use jy_types::record::RecordKey;
 use jy_types::record::member_key;
 use jy_types::time::Millis;
 use rand::SeedableRng;
@@ -52,6 +57,8 @@
     releases: BTreeMap<ServiceKey, ReleaseMap>,
     services: BTreeMap<ServiceKey, ServiceNotes>,
     due: Millis,
+    /// Hash of who is a member in which state.
+    roster: u64,
     /// Members are looked at again at this point.
     members_due: Millis,
     /// Whether something changed that the services have not been looked at with.
@@ -73,6 +80,7 @@
             releases: BTreeMap::new(),
             services: BTreeMap::new(),
             due: Millis::MAX,
+            roster: 0,
             members_due: Millis::default(),
             dirty: true,
             settings,
@@ -167,12 +175,19 @@
             *known = record.revision.max(*known);
             newer
         });
-        self.dirty |= !records.is_empty();
+        let is_page_or_workspace = |record: &Record| {
+            let key = RecordKey::parse(&record.key);
+            !matches!(key, Some(RecordKey::Member(_)))
+        };
+        self.dirty |= records.iter().any(is_page_or_workspace);
         for record in &records {
             self.ledger.observe(&record.key, record.revision);
         }
         let view = std::mem::take(&mut self.view);
         (self.view, _) = view.with_records(&records, batch.complete_to);
+        let roster = hash_roster(&self.view);
+        self.dirty |= roster != self.roster;
+        self.roster = roster;
         let newest = self.view.term.as_ref().map_or(0, |term| term.value.term);
         if self.role.as_ref().is_some_and(|role| role.term < newest) && !self.breaks_term() {
             self.stop();
@@ -199,7 +214,7 @@
         let Some(mut role) = self.role.take() else {
             return (self, Vec::new());
         };
-        self.ledger.refresh(now);
+        self.dirty |= self.ledger.refresh(now);
         self.dirty |= self.loads.refresh(now, &self.view);
         self.members = self.members.with_members(now, &self.view);
         let mut actions = Vec::new();
@@ -207,7 +222,7 @@
         self.write_members(now, verdicts, &mut actions);
         let stirred = self.dirty || !actions.is_empty() || self.ledger.is_busy();
         let waits = self.services.values().any(ServiceNotes::waits);
-        if self.dirty || waits || self.ledger.is_busy() {
+        if self.dirty || waits {
             self.dirty = false;
             self.review_services(now, &mut role, &mut actions);
         }
@@ -313,3 +328,14 @@
         .flat_map(|page| page.value.owners.iter().cloned())
         .collect()
 }
+
+/// Hashes who is a member, in which state and whether with a backend server: what units depend on.
+fn hash_roster(view: &FleetView) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    for member in view.members.values().map(|member| &member.value) {
+        member.id.hash(&mut hasher);
+        std::mem::discriminant(&member.state).hash(&mut hasher);
+        member.endpoint.is_some().hash(&mut hasher);
+    }
+    hasher.finish()
+}
--- a/crates/control/src/replay.rs
+++ b/crates/control/src/replay.rs
@@ -1,5 +1,7 @@
 //! Replay of recorded traces: real candidates and controllers in a fake fleet.
 
+use std::collections::BTreeMap;
+
 use jy_kernel::trace::FigureMap;
 use jy_kernel::trace::Result;
 use jy_kernel::trace::TraceError;
@@ -51,6 +53,9 @@
     set("moving_units", checks.moving() as f64);
     set("changes_not_ended", fleet.open_changes() as f64);
     set("imbalance_over_limit", imbalance_over_limit(fleet));
+    let (lost, most) = monitor_figures(fleet);
+    set("monitors_lost", lost);
+    set("watched_by_one", most);
     set("writes", f64::from(fleet.store().write_count()));
     for (name, millis) in &fleet.times {
         set(name, *millis as f64);
@@ -82,3 +87,19 @@
     }
     worst
 }
+
+/// Returns how many monitors of present agents are over, and the most agents that one monitor
+/// watches.
+fn monitor_figures(fleet: &FakeFleet) -> (f64, f64) {
+    let checks = &fleet.checks;
+    let present = checks.members.values();
+    let present = present.filter(|member| !member.state.is_over());
+    let mut watches = BTreeMap::new();
+    let mut lost = 0_u32;
+    for monitor in present.flat_map(|member| &member.monitors.monitors) {
+        lost += u32::from(checks.is_over(monitor));
+        *watches.entry(monitor).or_insert(0_u32) += 1;
+    }
+    let most = watches.into_values().max().unwrap_or_default();
+    (f64::from(lost), f64::from(most))
+}
--- a/crates/control/src/writes.rs
+++ b/crates/control/src/writes.rs
@@ -75,13 +75,16 @@
         }
     }
 
-    /// Drops writes that the records or the time have settled, and saves up tokens.
-    pub fn refresh(&mut self, now: Millis) {
+    /// Drops writes that the time has settled, and saves up tokens. Returns whether a key became
+    /// free.
+    pub fn refresh(&mut self, now: Millis) -> bool {
+        let before = self.pending.len() + self.page_due.len();
         let gained = now.since(self.filled) * self.rate * (WRITE_COST / 1_000);
         self.saved = self.burst_micros.min(self.saved.saturating_add(gained));
         self.filled = now;
         self.pending.retain(|_, write| write.until > now);
         self.page_due.retain(|_, due| *due > now);
+        self.pending.len() + self.page_due.len() < before
     }
 
     /// Forgets all writes: the role ended.
