--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,9 +3,17 @@
 use std::process::ExitCode;
 
 use anyhow::Result;
+use jy_bench::config_race;
 use jy_bench::demo;
+use jy_bench::lease;
+use jy_bench::lease_cost;
+use jy_bench::lease_faults;
+use jy_bench::lease_search;
+use jy_bench::lease_traces;
 use jy_bench::placement;
+use jy_bench::policy;
 use jy_bench::report;
+use jy_bench::trials;
 
 /// One subcommand: its name, one line of help, and what it runs with the arguments after it.
 struct BenchCommand {
@@ -16,11 +24,51 @@
 
 /// All subcommands.
 const COMMANDS: &[BenchCommand] = &[
+    BenchCommand {
+        name: "config-race",
+        help: "operators who race, lost answers, agents that hear late: does anything revert?",
+        run: config_race::run,
+    },
     BenchCommand {
         name: "demo",
         help: "both deployments as processes: load, an owner lost, an agent that leaves",
         run: demo::run,
     },
+    BenchCommand {
+        name: "lease-check",
+        help: "random schedules of the lease protocol, and each rule broken on purpose",
+        run: lease::check,
+    },
+    BenchCommand {
+        name: "policy",
+        help: "tail, overload, cold start and retries in virtual time, beside a baseline",
+        run: policy::run,
+    },
+    BenchCommand {
+        name: "trial",
+        help: "faults on real processes: owner, loss, outage, zone-out, answers, once, ...",
+        run: trials::run,
+    },
+    BenchCommand {
+        name: "lease-exhaustive",
+        help: "every course of small instances of the lease protocol",
+        run: lease_search::exhaustive,
+    },
+    BenchCommand {
+        name: "lease-faults",
+        help: "single faults, for each choice of the lease protocol's design",
+        run: lease_faults::faults,
+    },
+    BenchCommand {
+        name: "lease-cost",
+        help: "processor time and bytes of the lease protocol",
+        run: lease_cost::cost,
+    },
+    BenchCommand {
+        name: "lease-record",
+        help: "records the traces of the lease protocol into --dir",
+        run: lease_traces::record,
+    },
     BenchCommand {
         name: "placement",
         help: "imbalance, churn and settling of the placement in a fake fleet; sizes as arguments",
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -1,6 +1,7 @@
 //! Members: verdicts, joins, departures and changes of monitors.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use jy_feed::view::FleetView;
 use jy_feed::view::Revised;
@@ -52,6 +53,8 @@
     suspects: BTreeMap<AgentId, Millis>,
     joining_since: BTreeMap<AgentId, Millis>,
     over_since: BTreeMap<AgentId, Millis>,
+    /// When replaced incarnations were first read. As monitors they support nobody any more.
+    replaced_since: BTreeMap<AgentId, Millis>,
 }
 
 /// A wanted change of a member's record.
@@ -68,6 +71,7 @@
             suspects: BTreeMap::new(),
             joining_since: BTreeMap::new(),
             over_since: BTreeMap::new(),
+            replaced_since: BTreeMap::new(),
         }
     }
 
@@ -104,8 +108,7 @@
         for member in view.members.values().map(|member| &member.value) {
             if member.state.is_over() {
                 if !self.over_since.contains_key(&member.id) {
-                    self.tally = self.tally.with_over(now, &member.id);
-                    self.over_since.insert(member.id.clone(), now);
+                    self = self.with_over(now, member);
                 }
                 self.suspects.remove(&member.id);
                 self.reports.remove(&member.id);
@@ -114,7 +117,14 @@
                 self.joining_since.entry(member.id.clone()).or_insert(now);
             }
         }
+        for id in replaced(view) {
+            if !self.replaced_since.contains_key(&id) {
+                self.tally = self.tally.with_over(now, &id);
+                self.replaced_since.insert(id, now);
+            }
+        }
         let known = |id: &AgentId| view.members.contains_key(id);
+        self.replaced_since.retain(|id, _| known(id));
         self.over_since.retain(|id, _| known(id));
         self.reports.retain(|id, _| known(id));
         self.suspects.retain(|id, _| known(id));
@@ -122,6 +132,17 @@
         self
     }
 
+    /// Notes that a member is over. Only a dead one counts as a vote later on: one that left may
+    /// support others for as long as its own lease lives.
+    #[must_use]
+    fn with_over(mut self, now: Millis, member: &MemberRecord) -> Self {
+        if member.state == MemberState::Dead {
+            self.tally = self.tally.with_over(now, &member.id);
+        }
+        self.over_since.insert(member.id.clone(), now);
+        self
+    }
+
     /// Whether somebody voted against an agent after `since` and no verdict has come yet.
     #[must_use]
     pub fn has_suspects(&self, since: Millis) -> bool {
@@ -274,6 +295,14 @@
     }
 }
 
+/// Returns the incarnations that a present one replaces at their addresses.
+#[must_use]
+pub fn replaced(view: &FleetView) -> BTreeSet<AgentId> {
+    view.present()
+        .flat_map(|member| member.replaces.iter().cloned())
+        .collect()
+}
+
 /// Whether a page or a present member's monitor set names an agent.
 fn is_named(view: &FleetView, id: &AgentId) -> bool {
     let in_set = |set: &MonitorSet| set.monitors.contains(id);
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -114,7 +114,7 @@
         format!("zones       {}", zones_text(sights)),
         format!("controller  {}", controller_text(sights)),
         format!(
-            "store       reached by {reached} of {} agents that call it",
+            "store       last call succeeded at {reached} of {} agents",
             calls.len()
         ),
         format!(
@@ -247,7 +247,7 @@
     let unit = if owner.pinned { "pinned key" } else { "slice" };
     let text = format!(
         "key          {key} (hash {:016x})\nheld in      {unit} {}\nowner        {name}\n\
-         fence        {:x}{}\n",
+         fence        {:#x}{}\n",
         KeyHash::new(&key).0,
         owner.slice,
         owner.fence,
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -17,6 +17,7 @@
 use crate::grants::GrantLedger;
 use crate::queue::WaitQueue;
 use crate::ramp::ConcurrencyRamp;
+use crate::ramp::RampPace;
 use crate::refusals;
 use crate::window::RequestWindow;
 use crate::window::WindowBounds;
@@ -55,6 +56,8 @@
     pub(crate) running: BTreeMap<u64, RunningRequest>,
     /// Waiting and running requests by unit.
     pub(crate) open: BTreeMap<Unit, u32>,
+    /// Requests without an answer that may run on until their deadline, with their units.
+    pub(crate) lingering: BTreeMap<(Millis, u64), Unit>,
     /// Moving mean of the time that the backend server takes, in milliseconds.
     pub(crate) mean_ms: f64,
     pub(crate) backend: BackendState,
@@ -67,12 +70,8 @@
     /// Makes a gate that owns nothing and knows of no backend server.
     #[must_use]
     pub fn new(settings: GateSettings) -> Self {
-        let bounds = WindowBounds {
-            age_ms: settings.window_ms,
-            entries: settings.window_entries as usize,
-            bytes: settings.window_bytes,
-        };
-        let ramp = ConcurrencyRamp::new(settings.slots, settings.ramp_start, settings.ramp_answers);
+        let bounds = window_bounds(&settings);
+        let ramp = ConcurrencyRamp::new(ramp_pace(&settings));
         Self {
             settings,
             lease: Millis::default(),
@@ -82,6 +81,7 @@
             ramp,
             running: BTreeMap::new(),
             open: BTreeMap::new(),
+            lingering: BTreeMap::new(),
             mean_ms: 0.0,
             backend: BackendState::Absent,
             draining: false,
@@ -100,9 +100,9 @@
             GateEvent::Lease { until } => self.lease = until,
             GateEvent::Grants(grants) => self.replace_grants(now, grants, &mut actions),
             GateEvent::Handover { entries, .. } => self.window.take_over(now, entries),
-            GateEvent::Backend(notice) => self.backend_changed(&notice, &mut actions),
+            GateEvent::Backend(notice) => self.backend_changed(now, &notice, &mut actions),
+            GateEvent::Settings(settings) => self.configure(settings),
             GateEvent::Clock { wall } => self.wall = Some((now, wall)),
-            GateEvent::Settings(settings) => self.settings = settings,
             GateEvent::Drain => self.draining = true,
             GateEvent::Tick => {}
         }
@@ -156,17 +156,26 @@
             .running
             .values()
             .any(|running| owned(running) && !running.cancelled);
-        let waits = !self.queue.is_empty();
+        let waits = self.queue.any(|arrival| arrival.unit.is_some());
         let lease = (cancels || waits).then_some(self.lease);
         let deadline = self.queue.first_deadline();
         let serve = waits.then(|| self.ledger.next_serve()).flatten();
-        [lease, deadline, serve]
+        let lingering = self.lingering.first_key_value();
+        let linger = lingering.map(|((until, _), _)| *until);
+        [lease, deadline, serve, linger]
             .into_iter()
             .flatten()
             .min()
             .unwrap_or(Millis::MAX)
     }
 
+    /// Takes new limits.
+    fn configure(&mut self, settings: GateSettings) {
+        self.ramp.configure(ramp_pace(&settings));
+        self.window.configure(window_bounds(&settings));
+        self.settings = settings;
+    }
+
     /// Replaces the grants: what runs or waits of units that are gone is stopped.
     fn replace_grants(
         &mut self,
@@ -191,7 +200,12 @@
     }
 
     /// Takes news of the backend server.
-    fn backend_changed(&mut self, notice: &BackendNotice, actions: &mut Vec<GateAction>) {
+    fn backend_changed(
+        &mut self,
+        now: Millis,
+        notice: &BackendNotice,
+        actions: &mut Vec<GateAction>,
+    ) {
         match *notice {
             BackendNotice::Announced {
                 start_stamp,
@@ -199,7 +213,7 @@
                 cold,
                 draining,
             } => {
-                self.ramp.announced(start_stamp, slots, cold);
+                self.ramp.announced(now, start_stamp, slots, cold);
                 self.backend = if draining {
                     BackendState::Draining
                 } else {
@@ -207,7 +221,7 @@
                 };
             }
             BackendNotice::Gone => {
-                self.ramp.restart();
+                self.ramp.doubt(now);
                 self.backend = BackendState::Absent;
                 let waiting = self.queue.take_matching(|_| true);
                 self.refuse_waiting(waiting, refusals::no_backend, actions);
@@ -223,16 +237,16 @@
         actions: &mut Vec<GateAction>,
     ) {
         for arrival in waiting {
-            self.close(&arrival);
+            self.close(arrival.unit);
             self.withdraw(&arrival);
             let (ticket, refusal) = (arrival.ticket, refusal());
             actions.push(GateAction::Refuse { ticket, refusal });
         }
     }
 
-    /// Counts a request as done with.
-    pub(crate) fn close(&mut self, arrival: &Arrival) {
-        let Some(unit) = arrival.unit else {
+    /// Counts a request of a unit as done with.
+    pub(crate) fn close(&mut self, unit: Option<Unit>) {
+        let Some(unit) = unit else {
             return;
         };
         if let Some(open) = self.open.get_mut(&unit) {
@@ -263,6 +277,25 @@
     }
 }
 
+/// Returns the pace of a cold start.
+const fn ramp_pace(settings: &GateSettings) -> RampPace {
+    RampPace {
+        slots: settings.slots,
+        start: settings.ramp_start,
+        step_answers: settings.ramp_answers,
+        step_ms: settings.ramp_step_ms,
+    }
+}
+
+/// Returns the bounds of the window.
+const fn window_bounds(settings: &GateSettings) -> WindowBounds {
+    WindowBounds {
+        age_ms: settings.window_ms,
+        entries: settings.window_entries as usize,
+        bytes: settings.window_bytes,
+    }
+}
+
 /// Returns the id under which a request is remembered.
 pub(crate) fn window_id(arrival: &Arrival) -> Option<&jy_types::name::Name> {
     let id = arrival.idempotency_key.as_ref()?;
--- a/crates/route/src/core.rs
+++ b/crates/route/src/core.rs
@@ -29,6 +29,9 @@
 use crate::pick::LoadTable;
 use crate::refusals;
 
+/// Shortest time between two pulls of records, in milliseconds.
+const PULL_EVERY_MS: u64 = 250;
+
 /// State of a gateway's routing.
 #[derive(Clone, Debug)]
 pub struct RouteState {
@@ -105,12 +108,12 @@
             actions.push(RouteAction::Refuse { ticket, refusal });
             return;
         };
-        let is_keyed = service.keyed;
-        if is_keyed && request.key.is_none() {
+        if service.keyed && request.key.is_none() {
             let refusal = refusals::key_missing();
             actions.push(RouteAction::Refuse { ticket, refusal });
             return;
         }
+        let is_keyed = request.key.is_some();
         self.retries.earn();
         if request.idempotent && !is_keyed {
             self.hedges.earn();
@@ -180,7 +183,7 @@
         open.tried.clear();
         open.wake = now.plus(wait_ms).min(open.request.deadline);
         if now >= self.next_pull {
-            self.next_pull = now.plus(wait_ms);
+            self.next_pull = now.plus(PULL_EVERY_MS);
             actions.push(RouteAction::Pull);
         }
     }
--- a/crates/testutils/src/lib.rs
+++ b/crates/testutils/src/lib.rs
@@ -1,4 +1,5 @@
-//! Small helpers for tests: seeded random numbers and fakes of the platform.
+//! Small helpers for tests: seeded random numbers, fakes of the platform and the check of leases.
 
 pub mod fake_store;
+pub mod lease_check;
 pub mod seeds;
