--- a/crates/testutils/src/lib.rs
+++ b/crates/testutils/src/lib.rs
@@ -1,4 +1,5 @@
-//! Small helpers for tests: seeded random numbers, virtual time and the check of the leases.
+//! Small helpers for tests: seeded random numbers, fakes of the platform and the check of leases.
 
+pub mod fake_store;
 pub mod lease_check;
 pub mod seeds;
--- a/crates/types/src/workspace.rs
+++ b/crates/types/src/workspace.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::name::Name;
+use crate::time::WallMillis;
 
 /// Which requests wait when not all can be served. Earlier ones go first.
 #[derive(
@@ -82,6 +83,16 @@
         };
         self.routes.iter().find(matches)
     }
+
+    /// Whether some requests have an owner: all of a service divided by key, and elsewhere those
+    /// that are non-idempotent, so that one gate sees every repeat.
+    #[must_use]
+    pub fn has_owners(&self) -> bool {
+        let is_catch_all = |rule: &&RouteRule| &*rule.method == "*" && &*rule.path == "/";
+        let last = self.routes.iter().position(|rule| is_catch_all(&rule));
+        let reached = &self.routes[..last.map_or(self.routes.len(), |index| index + 1)];
+        self.keyed || last.is_none() || reached.iter().any(|rule| !rule.idempotent)
+    }
 }
 
 /// The accepted configuration of one workspace.
@@ -100,6 +111,24 @@
     /// Token of the write, to recognise it when its answer was lost.
     #[serde(default)]
     pub token: u64,
+    /// Who accepted it, when and over which revision.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accepted: Option<AcceptNote>,
+}
+
+/// What an operator who finds a newer revision wants to know about it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AcceptNote {
+    /// Who accepted it.
+    pub by: Name,
+    /// When, by the operator's clock.
+    pub at: WallMillis,
+    /// The revision that it replaced; zero for a new workspace.
+    pub base: u64,
+    /// Why, in the operator's words.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub note: Option<Name>,
 }
 
 impl WorkspaceRecord {
