--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod lease_traces;
 pub mod load;
 pub mod node;
+pub mod placement;
+pub mod placement_figures;
 pub mod plan;
 pub mod policy;
 pub mod policy_agents;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -10,6 +10,7 @@
 use jy_bench::lease_faults;
 use jy_bench::lease_search;
 use jy_bench::lease_traces;
+use jy_bench::placement;
 use jy_bench::policy;
 use jy_bench::report;
 use jy_bench::trials;
@@ -68,6 +69,11 @@
         help: "records the traces of the lease protocol into --dir",
         run: lease_traces::record,
     },
+    BenchCommand {
+        name: "placement",
+        help: "imbalance, churn and settling of the placement in a fake fleet; sizes as arguments",
+        run: placement::run,
+    },
 ];
 
 fn main() -> ExitCode {
