agent: an agent without a lease reads its own record

Cause: a monitor supports others for one grace (4 s) from its start until it has a lease of its own. An agent whose backend server does not announce itself joins after 3 s, so a new fleet whose first monitors come a second late, or that starts before its store, never got a lease: nobody supported anybody. Ruled out: a longer first grace (a dead monitor could then support for longer than the wait for it); support from agents that never had a lease (the controller can't tell them from others). Change: while it has no lease, an agent reads its own record each second; if it is not over, no verdict is older than the sending of the read, which the monitor takes like the end of a lease. Measured: in the model, six agents whose controller appoints monitors 5 s after the start: without the read 0 ms of any agent with a lease, with it leases from then on (test run_random_late_start_needs_read_of_own_record). No trial with processes yet.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -56,6 +56,7 @@
 use crate::metrics::AgentMetrics;
 use crate::operator;
 use crate::operator::OperatorService;
+use crate::own_record;
 use crate::peers;
 use crate::peers::PeerService;
 use crate::report::ReportService;
@@ -351,6 +352,9 @@
         settings.watch_store,
     ));
     start_tickers(registry)?;
+    let leases = registry.find::<LeaseService>(lease::SERVICE)?;
+    let reader = StoreClient::clone(&store);
+    actix_rt::spawn(own_record::watch(leases, reader, id.clone()));
     let gate = registry.find::<GateService>(gate::SERVICE)?;
     actix_rt::spawn(gate.tell_clock());
     let own = registry.find::<MemberService>(member::SERVICE)?;
--- a/crates/agent/src/lease.rs
+++ b/crates/agent/src/lease.rs
@@ -1,5 +1,6 @@
 //! Shell of the leases: renews the agent's own and supports others'.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -50,6 +51,7 @@
     id: AgentId,
     holder: StateCell<HolderState>,
     monitor: StateCell<MonitorState>,
+    no_verdict_before: Cell<Millis>,
     feed: Rc<FeedService>,
     peers: Rc<PeerService>,
     listeners: RefCell<Vec<LeaseListener>>,
@@ -82,6 +84,7 @@
         Self {
             holder: StateCell::new(HolderState::new(id.clone(), timing)),
             monitor: StateCell::new(MonitorState::new(id.clone(), timing)),
+            no_verdict_before: Cell::new(Millis(0)),
             id,
             feed,
             peers,
@@ -195,7 +198,7 @@
         }
         let until = self.lease_until();
         if until != before {
-            self.step_monitor(MonitorEvent::OwnLease { until });
+            self.tell_monitor();
             let listeners = self.listeners.borrow().clone();
             for listener in listeners {
                 listener(until);
@@ -204,6 +207,18 @@
         self.wake.notify_one();
     }
 
+    /// Notes that a read sent at `sent` found no verdict on this agent.
+    pub fn note_no_verdict(self: &Rc<Self>, sent: Millis) {
+        self.no_verdict_before.set(sent);
+        self.tell_monitor();
+    }
+
+    /// Tells the monitor the newest point before which there was no verdict on this agent.
+    fn tell_monitor(self: &Rc<Self>) {
+        let until = self.lease_until().max(self.no_verdict_before.get());
+        self.step_monitor(MonitorEvent::OwnLease { until });
+    }
+
     /// Steps the monitor and does what it says.
     fn step_monitor(self: &Rc<Self>, event: MonitorEvent) {
         for action in self.monitor_actions(event) {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod member;
 pub mod metrics;
 pub mod operator;
+pub mod own_record;
 pub mod peers;
 pub mod report;
 pub mod rpc;
--- a/crates/lease/tests/test_check.rs
+++ b/crates/lease/tests/test_check.rs
@@ -21,6 +21,16 @@
 /// First seed of the rule that shows seldom; `jybench lease-check` prints one.
 const DRIFT_SEED: u64 = 480;
 
+/// Whether a fleet that gets its first monitors late ever has a lease.
+fn starts_late(reads_own_record: bool) -> bool {
+    let settings = CheckSettings {
+        gather_ms: LeaseTiming::default().monitor_grace_ms + 1_000,
+        reads_own_record,
+        ..CheckSettings::calm(6, |_, _| Vec::new())
+    };
+    run_random(&settings, 1).running_ms > 0
+}
+
 /// Counts unsafe schedules among a few seeds with a rule broken.
 fn unsafe_with(rule: BrokenRule, first: u64) -> u64 {
     let run = |seed| run_random(&CheckSettings::provoking(rule, seed), seed);
@@ -40,6 +50,12 @@
     expect_that!(fast.real(Millis(flat)), lt(last_support));
 }
 
+#[gtest]
+fn run_random_late_start_needs_read_of_own_record() {
+    expect_that!(starts_late(true), eq(true));
+    expect_that!(starts_late(false), eq(false));
+}
+
 #[gtest]
 fn run_random_mixed_faults_safe() {
     let outcome = sum(|seed| run_random(&CheckSettings::mixed(seed), seed));
--- a/crates/testutils/src/lease_check/controller.rs
+++ b/crates/testutils/src/lease_check/controller.rs
@@ -51,8 +51,6 @@
 
 /// A write without an answer is given up after this time.
 const WRITE_TIMEOUT_MS: u64 = 1_000;
-/// A controller gets to know the fleet for this long before it appoints anybody.
-const GATHER_MS: u64 = 1_500;
 /// An agent that reported within this time answers.
 const ANSWERS_MS: u64 = 3_000;
 
@@ -71,6 +69,7 @@
     to_change: BTreeSet<AgentId>,
     change_count: usize,
     monitors: usize,
+    gather_ms: u64,
     over_rule: OverRule,
     broken: Option<BrokenRule>,
 }
@@ -91,6 +90,7 @@
             to_change: BTreeSet::new(),
             change_count: 0,
             monitors: settings.monitors,
+            gather_ms: settings.gather_ms,
             over_rule: settings.over_rule,
             broken: settings.broken,
         }
@@ -146,7 +146,7 @@
     /// Decides on every member that has no write under way.
     fn decide(&mut self, now: Millis, rng: &mut StdRng) -> Vec<StoreWrite> {
         let mut writes = Vec::new();
-        let appoints_at = *self.appoints_at.get_or_insert(now.plus(GATHER_MS));
+        let appoints_at = *self.appoints_at.get_or_insert(now.plus(self.gather_ms));
         if now < appoints_at {
             return writes;
         }
--- a/crates/testutils/src/lease_check/settings.rs
+++ b/crates/testutils/src/lease_check/settings.rs
@@ -36,6 +36,8 @@
     pub monitors: usize,
     /// Controllers that act at once.
     pub controllers: usize,
+    /// A controller gets to know the fleet for this long before it appoints anybody.
+    pub gather_ms: u64,
     /// Periods.
     pub timing: LeaseTiming,
     /// What monitors that are over count for.
@@ -65,6 +67,8 @@
     pub rack: usize,
 }
 
+/// See [`CheckSettings::gather_ms`].
+const GATHER_MS: u64 = 1_500;
 /// Fewest agents of a mixed schedule.
 const FEWEST_AGENTS: u64 = 3;
 /// Sizes of mixed schedules.
@@ -134,6 +138,7 @@
             racks: 2,
             monitors: 3,
             controllers: 2,
+            gather_ms: GATHER_MS,
             timing: LeaseTiming::default(),
             over_rule: OverRule::Counted,
             reads_own_record: true,
