--- a/crates/agent/src/tasks.rs
+++ b/crates/agent/src/tasks.rs
@@ -35,6 +35,7 @@
 use crate::lease::LeaseService;
 use crate::member;
 use crate::member::MemberService;
+use crate::own_record;
 use crate::report::ReportService;
 use crate::shutdown::LeaveSignal;
 use crate::spread;
@@ -68,6 +69,9 @@
         settings.watch_store,
     ));
     start_tickers(registry)?;
+    let leases = registry.find::<LeaseService>(lease::SERVICE)?;
+    let reader = StoreClient::clone(&store);
+    actix_rt::spawn(own_record::watch(leases, reader, id.clone()));
     let gate = registry.find::<GateService>(gate::SERVICE)?;
     actix_rt::spawn(gate.tell_clock());
     let own = registry.find::<MemberService>(member::SERVICE)?;
--- a/crates/agent/tests/test_exchange.rs
+++ b/crates/agent/tests/test_exchange.rs
@@ -27,6 +27,10 @@
 }
 
 /// Reads a request.
+///
+/// # Errors
+///
+/// The refusal.
 fn read(path: &str, headers: &[(&'static str, &'static str)]) -> Result<RequestExchange, Refusal> {
     RequestExchange::new(&request(path, headers), WallMillis(7))
 }
