ctl, store: a recorded race of operators, replayed; the fake store moves to jy-store

Cause: races had a bench and no recorded trace with a stated outcome; the model of the bench could not be replayed. Change: `jy_ctl::replay` drives accepts and replicas by recorded events; `jybench config-race` draws the same events by seed; `jy_store::memory` holds the store in memory. A trace can switch off "write over what you saw" or "move forward". Measured: trace `config/race`: outcome kept; with a rule switched off `taken_back` or `agents_back` breaks its bound of 0.

--- a/crates/bench/tests/test_config_race.rs
+++ b/crates/bench/tests/test_config_race.rs
@@ -20,6 +20,6 @@
     let baseline = table
         .rows
         .iter()
-        .find(|row| row.name.starts_with("baseline: accepted changes"));
+        .find(|row| row.name.starts_with("last writer wins: taken_back"));
     verify_that!(baseline.map(|row| row.value), some(gt(0.0)))
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod files;
 pub mod fleet;
+pub mod replay;
 pub mod status;
 pub mod watch;
 pub mod zone;
--- a/crates/ctl/tests/test_accept.rs
+++ b/crates/ctl/tests/test_accept.rs
@@ -18,8 +18,8 @@
 use jy_ctl::zone;
 use jy_ctl::zone::ZoneChange;
 use jy_ctl::zone::ZoneEnd;
-use jy_testutils::fake_store::FakeStore;
-use jy_testutils::fake_store::StoreFault;
+use jy_store::memory::FakeStore;
+use jy_store::memory::StoreFault;
 use jy_types::workspace::WorkspaceRecord;
 
 const SEALS: &str = concat!(
--- a/crates/testutils/src/fake_store.rs
+++ b/crates/store/src/memory.rs
@@ -1,24 +1,28 @@
-//! The platform's store in memory: compare-and-swap and lists, with faults on demand.
+//! A store in memory for replays and tests: compare-and-swap and lists, with faults on demand.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use jy_store::client::Result;
-use jy_store::client::SendFn;
-use jy_store::client::StoreClient;
-use jy_store::client::StoreError;
-use jy_store::protocol::LIST_PATH;
-use jy_store::protocol::ListCall;
-use jy_store::protocol::RecordsAnswer;
-use jy_store::protocol::SWAP_PATH;
-use jy_store::protocol::SwapAnswer;
-use jy_store::protocol::SwapCall;
+use crate::client::Result;
+use crate::client::SendFn;
+use crate::client::StoreClient;
+use crate::client::StoreError;
+use crate::protocol::LIST_PATH;
+use crate::protocol::ListCall;
+use crate::protocol::RecordsAnswer;
+use crate::protocol::SWAP_PATH;
+use crate::protocol::SwapAnswer;
+use crate::protocol::SwapCall;
 use jy_types::name::Name;
 use jy_types::record::Record;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 /// What happens to one call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum StoreFault {
     /// It never arrives.
     LostCall,
@@ -205,7 +209,7 @@
 /// # Panics
 ///
 /// If the client sent something else.
-fn parse<T: serde::de::DeserializeOwned>(body: &str) -> T {
+fn parse<T: DeserializeOwned>(body: &str) -> T {
     serde_json::from_str(body).expect("the client sends calls of the protocol")
 }
 
@@ -214,6 +218,6 @@
 /// # Panics
 ///
 /// Never: answers are plain data.
-fn encode(answer: &impl serde::Serialize) -> Vec<u8> {
+fn encode(answer: &impl Serialize) -> Vec<u8> {
     serde_json::to_vec(answer).expect("answers are plain data")
 }
