--- a/crates/bench/src/lease.rs
+++ b/crates/bench/src/lease.rs
@@ -25,10 +25,10 @@
 const ISOLATED_SHARE: u64 = 5;
 
 /// Options that every lease command takes.
-struct LeaseOptions {
-    schedules: u64,
-    seed: u64,
-    out: Option<PathBuf>,
+pub(crate) struct LeaseOptions {
+    pub(crate) schedules: u64,
+    pub(crate) seed: u64,
+    pub(crate) out: Option<PathBuf>,
 }
 
 impl LeaseOptions {
@@ -37,7 +37,7 @@
     /// # Errors
     ///
     /// If an option is unknown or not a number.
-    fn new(arguments: &[String], schedules: u64) -> Result<Self> {
+    pub(crate) fn new(arguments: &[String], schedules: u64) -> Result<Self> {
         let mut options = Options::new();
         options.optopt("", "schedules", "schedules to run", "N");
         options.optopt("", "seed", "seed of the first schedule", "N");
@@ -56,7 +56,7 @@
 /// # Errors
 ///
 /// If the option's value is not a number.
-fn number_of(matches: &Matches, name: &str, usual: u64) -> Result<u64> {
+pub(crate) fn number_of(matches: &Matches, name: &str, usual: u64) -> Result<u64> {
     let number = matches.opt_get(name);
     let number = number.with_context(|| format!("--{name} must be a number"))?;
     Ok(number.unwrap_or(usual))
@@ -67,7 +67,7 @@
 /// # Panics
 ///
 /// If a schedule does.
-fn run_seeds<F>(first: u64, count: u64, run: F) -> CheckOutcome
+pub(crate) fn run_seeds<F>(first: u64, count: u64, run: F) -> CheckOutcome
 where
     F: Fn(u64) -> CheckOutcome + Sync,
 {
@@ -102,7 +102,7 @@
     let run = |seed| run_random(&CheckSettings::mixed(seed), seed);
     let outcome = run_seeds(options.seed, options.schedules, run);
     table.rows.extend(check_rows("mixed faults", &outcome));
-    let run = |seed| run_random(&CheckSettings::isolating(), seed);
+    let run = |seed| run_random(&CheckSettings::isolating(seed), seed);
     let isolated = run_seeds(
         options.seed,
         options.schedules.div_ceil(ISOLATED_SHARE),
--- a/crates/testutils/src/lease_check/node.rs
+++ b/crates/testutils/src/lease_check/node.rs
@@ -18,6 +18,7 @@
 use jy_types::time::Millis;
 
 use super::clock::DriftClock;
+use super::recorder::NodeStep;
 use super::settings::CheckSettings;
 use super::settings::OverRule;
 use super::store::StoreWrite;
@@ -106,6 +107,8 @@
     pub behind_until: u64,
     /// Real time of the next tick that is queued.
     pub tick_queued: Option<u64>,
+    /// Steps for a trace, if one is recorded.
+    pub steps: Option<Vec<NodeStep>>,
     holder: StateCell<HolderState>,
     monitor: StateCell<MonitorState>,
     own_until: Millis,
@@ -147,6 +150,7 @@
             frozen_until: 0,
             behind_until: 0,
             tick_queued: None,
+            steps: None,
             own_until: Millis(0),
             read_until: Millis(0),
             read_at: Millis(0),
@@ -210,7 +214,10 @@
                 }
                 self.take_record(now, stored)
             }
-            NodeInput::Leave => self.leave(now),
+            NodeInput::Leave => {
+                self.leaves = true;
+                self.write_left().into_iter().collect()
+            }
         }
     }
 
@@ -304,16 +311,7 @@
         outputs
     }
 
-    /// Ends the own lease and supports, and only then says in the record that the agent left.
-    fn leave(&mut self, now: Millis) -> Vec<NodeOutput> {
-        self.leaves = true;
-        if self.broken != Some(BrokenRule::LeftWhileLeased) {
-            self.read_until = Millis(0);
-            self.step_holder(now, HolderEvent::Condemned);
-        }
-        self.write_left().into_iter().collect()
-    }
-
+    /// Says in the own record that the agent left; it owns nothing any more.
     fn write_left(&self) -> Option<NodeOutput> {
         let stored = self.own_record.as_ref()?;
         let mut record = (*stored.record).clone();
@@ -326,6 +324,9 @@
     }
 
     fn step_holder(&mut self, now: Millis, event: HolderEvent) -> Vec<NodeOutput> {
+        if let Some(steps) = &mut self.steps {
+            steps.push(NodeStep::Holder(now, event.clone()));
+        }
         let actions = self.holder.step(|holder| holder.step(now, event));
         self.tell_monitor(now);
         let output = |action| {
@@ -355,6 +356,9 @@
     }
 
     fn step_monitor(&mut self, now: Millis, event: MonitorEvent) -> Vec<NodeOutput> {
+        if let Some(steps) = &mut self.steps {
+            steps.push(NodeStep::Monitor(now, event.clone()));
+        }
         let actions = self.monitor.step(|monitor| monitor.step(now, event));
         let renews_always = self.broken == Some(BrokenRule::RenewAfterVote);
         let output = |action| match action {
--- a/crates/types/src/member.rs
+++ b/crates/types/src/member.rs
@@ -59,7 +59,7 @@
 }
 
 /// The monitors of an agent: every one of them may support its lease or vote against it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct MonitorSet {
     /// Grows with every change of the set.
     pub epoch: u64,
@@ -133,4 +133,8 @@
     pub next_monitors: Option<MonitorSet>,
     /// The controller's term that wrote this record last; zero if the agent itself did.
     pub term: u64,
+    /// Earlier incarnations at the same addresses. This one could listen there, so their processes
+    /// have ended.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub replaces: Vec<AgentId>,
 }
