replay: traces of the area config

Cause: `jyreplay traces` met `traces/config/race.jsonl` and no decision of its area. Ruled out: leaving it to the crate's own test (an operator replays by `jyreplay`). Conclusion: one command replays everything.

--- a/crates/replay/src/areas.rs
+++ b/crates/replay/src/areas.rs
@@ -8,7 +8,8 @@
 type ReplayFn = fn(&str, &str) -> Result<FigureMap>;
 
 /// Decisions by area.
-pub const AREAS: [(&str, ReplayFn); 4] = [
+pub const AREAS: [(&str, ReplayFn); 5] = [
+    ("config", jy_ctl::replay::replay),
     ("control", jy_control::replay::replay),
     ("lease", jy_lease::replay::replay),
     ("gate", jy_gate::replay::replay),
--- a/crates/replay/tests/test_files.rs
+++ b/crates/replay/tests/test_files.rs
@@ -26,7 +26,7 @@
 #[gtest]
 fn list_finds_traces_of_every_area() -> Result<()> {
     let found = files::list(&traces()).or_fail()?;
-    for area in ["control", "gate", "lease", "route"] {
+    for area in ["config", "control", "gate", "lease", "route"] {
         let of_area = found
             .iter()
             .filter(|path| path.parent().is_some_and(|dir| dir.ends_with(area)));
