bench: cost of the path and of control

The relay looks up who dialled only while a link is cut: before, 19 agents were not ready in 20 s when the kernel's table was long.

--- a/crates/bench/src/fleet.rs
+++ b/crates/bench/src/fleet.rs
@@ -43,6 +43,7 @@
 use crate::process::ChildProcess;
 use crate::relay::NodeIndex;
 use crate::relay::RelayNet;
+use crate::relay::STORE_NODE;
 
 /// Time between looks at a state that is waited for, in milliseconds.
 const LOOK_MS: u64 = 50;
@@ -56,9 +57,6 @@
 /// Largest number of writes and reads a second of the store in trials that do not limit it.
 const OPEN_RATE: u32 = 1_000_000;
 
-/// Node index under which the store appears in cuts.
-pub const STORE_NODE: NodeIndex = usize::MAX;
-
 /// How a fleet is started.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct FleetOptions {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,8 +3,10 @@
 use std::process::ExitCode;
 
 use anyhow::Result;
+use jy_bench::cost;
 use jy_bench::demo;
 use jy_bench::lease;
+use jy_bench::path;
 use jy_bench::policy;
 use jy_bench::report;
 use jy_bench::trials;
@@ -38,6 +40,16 @@
         help: "faults on real processes: owner, loss, outage, zone-out, answers, once, ...",
         run: trials::run,
     },
+    BenchCommand {
+        name: "path",
+        help: "latency and processor time of a request: direct, same agent, across agents",
+        run: path::run,
+    },
+    BenchCommand {
+        name: "cost",
+        help: "processor time, memory, bytes and store calls of control, by fleet size",
+        run: cost::run,
+    },
 ];
 
 fn main() -> ExitCode {
--- a/crates/bench/src/socket_owner.rs
+++ b/crates/bench/src/socket_owner.rs
@@ -1,8 +1,7 @@
 //! Finds which child process holds the other end of a loopback connection.
 
+use std::collections::HashMap;
 use std::fs;
-use std::net::IpAddr;
-use std::net::SocketAddr;
 
 /// Table of the kernel's TCP sockets.
 const TCP_TABLE: &str = "/proc/net/tcp";
@@ -12,35 +11,40 @@
 /// Column with the inode in the table.
 const INODE_COLUMN: usize = 9;
 
-/// Returns which of `pids` holds the socket whose own address is `local`.
+/// Returns the local port of every open TCP socket of `pids`, with the process that holds it.
 #[must_use]
-pub fn find(local: SocketAddr, pids: &[u32]) -> Option<u32> {
-    let inode = inode_of(local)?;
-    let link = format!("socket:[{inode}]");
-    pids.iter().copied().find(|pid| holds(*pid, &link))
-}
-
-/// Returns the inode of the socket with a local address.
-fn inode_of(local: SocketAddr) -> Option<String> {
-    let IpAddr::V4(ip) = local.ip() else {
-        return None;
+pub fn ports_of(pids: &[u32]) -> HashMap<u16, u32> {
+    let holders = holders_of(pids);
+    let table = fs::read_to_string(TCP_TABLE).unwrap_or_default();
+    let port = |line: &str| {
+        let mut columns = line.split_whitespace();
+        let (_, port) = columns.nth(LOCAL_COLUMN)?.split_once(':')?;
+        let inode = columns.nth(INODE_COLUMN - LOCAL_COLUMN - 1)?;
+        let pid = holders.get(inode)?;
+        Some((u16::from_str_radix(port, 16).ok()?, *pid))
     };
-    let ip = u32::from_le_bytes(ip.octets());
-    let wanted = format!("{ip:08X}:{:04X}", local.port());
-    let table = fs::read_to_string(TCP_TABLE).ok()?;
-    let line = table.lines().find(|line| {
-        let column = line.split_whitespace().nth(LOCAL_COLUMN);
-        column == Some(&*wanted)
-    })?;
-    line.split_whitespace().nth(INODE_COLUMN).map(str::to_owned)
+    table.lines().filter_map(port).collect()
 }
 
-/// Whether a process has a file descriptor with this link text.
-fn holds(pid: u32, link: &str) -> bool {
-    let Ok(entries) = fs::read_dir(format!("/proc/{pid}/fd")) else {
-        return false;
-    };
-    entries
-        .flatten()
-        .any(|entry| fs::read_link(entry.path()).is_ok_and(|target| target.as_os_str() == link))
+/// Returns the inode of every socket of `pids`, with the process that holds it.
+fn holders_of(pids: &[u32]) -> HashMap<String, u32> {
+    let mut holders = HashMap::new();
+    for pid in pids {
+        let Ok(entries) = fs::read_dir(format!("/proc/{pid}/fd")) else {
+            continue;
+        };
+        for entry in entries.flatten() {
+            let Ok(target) = fs::read_link(entry.path()) else {
+                continue;
+            };
+            let text = target.to_string_lossy();
+            let inode = text
+                .strip_prefix("socket:[")
+                .and_then(|text| text.strip_suffix(']'));
+            if let Some(inode) = inode {
+                holders.insert(inode.to_owned(), *pid);
+            }
+        }
+    }
+    holders
 }
--- a/crates/bench/src/trial_config.rs
+++ b/crates/bench/src/trial_config.rs
@@ -13,9 +13,9 @@
 use jy_types::time::Millis;
 
 use crate::args::BenchArgs;
-use crate::fleet::STORE_NODE;
 use crate::plan;
 use crate::relay::NodeIndex;
+use crate::relay::STORE_NODE;
 use crate::report::FigureRow;
 use crate::report::FigureTable;
 use crate::trial;
--- a/crates/bench/src/trial_owner.rs
+++ b/crates/bench/src/trial_owner.rs
@@ -145,7 +145,7 @@
 /// Cuts an agent from the others and the store, one way or both, for longer than its lease.
 async fn cut(bed: &TrialBed, victim: NodeIndex, towards: bool, from: bool) {
     let others = (0..bed.fleet.nodes.len()).filter(|other| *other != victim);
-    for other in others.chain([crate::fleet::STORE_NODE]) {
+    for other in others.chain([crate::relay::STORE_NODE]) {
         if towards {
             bed.fleet.net.cut(other, victim);
         }
