--- a/crates/bench/src/journal_check.rs
+++ b/crates/bench/src/journal_check.rs
@@ -21,6 +21,8 @@
 pub struct JournalFindings {
     /// Runs in all.
     pub runs: u64,
+    /// Runs that carried a unit, so that owners can be compared.
+    pub runs_with_unit: u64,
     /// Pairs of runs of one unit at two backend servers at the same time.
     pub overlaps: Vec<(ServerRun, ServerRun)>,
     /// Runs of a unit under a lower fence that ended after one under a higher fence began.
@@ -45,6 +47,7 @@
     }
     let mut findings = JournalFindings {
         runs: runs.len() as u64,
+        runs_with_unit: by_unit.values().map(|runs| runs.len() as u64).sum(),
         double_runs: by_id.into_iter().filter(|(_, count)| *count > 1).collect(),
         ..JournalFindings::default()
     };
--- a/crates/bench/src/trial.rs
+++ b/crates/bench/src/trial.rs
@@ -228,6 +228,8 @@
     let doubles = findings.double_runs.len() as u64;
     let none = |name, count| FigureRow::of_count(name, count).with_at_most(0.0);
     table.add(FigureRow::of_count("runs at backend servers", findings.runs).with_at_least(1.0));
+    let with_unit = FigureRow::of_count("runs that carried their unit", findings.runs_with_unit);
+    table.add(with_unit.with_at_least(1.0));
     table.add(none("runs of a key at two owners at once", overlaps));
     table.add(none("runs under a fence lower than one seen", stale));
     table.add(none("non-idempotent requests run twice", doubles));
