--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -6,8 +6,6 @@
 use jy_bench::config_race;
 use jy_bench::cost;
 use jy_bench::demo;
-use jy_bench::demo;
-use jy_bench::lease;
 use jy_bench::lease;
 use jy_bench::lease_cost;
 use jy_bench::lease_faults;
