agent: close connections in two steps when leaving

Cause: a leaving agent waited for one quiet second and then ended, whatever connections were open; a kept connection used at that moment would have been cut. Ruled out: a longer quiet time alone: a caller who is slower than it is cut all the same. Change: every answer closes its connection; what is idle after 3 s is closed by the HTTP library's own graceful end, and requests that arrive meanwhile are served; an agent that has left reads the store.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -73,7 +73,7 @@
     provide_all(&registry, &settings)?;
     ties::tie_views(&registry)?;
     ties::tie_leases(&registry)?;
-    let caller = listeners::start_listeners(&registry, &settings, &leave).await?;
+    let listeners = listeners::start_listeners(&registry, &settings, &leave).await?;
     tasks::start_tasks(&registry, &settings, &leave)?;
     log::info!("agent {} started", settings.name);
 
@@ -91,8 +91,8 @@
     }
     let gate = registry.find::<GateService>(gate::SERVICE)?;
     let gateway = registry.find::<GatewayService>(gateway::SERVICE)?;
-    let stop_accepting = || caller.abort();
-    shutdown::leave(&leave, &id, &feed, &gate, &gateway, stop_accepting).await;
+    shutdown::hand_over(&id, &feed).await;
+    shutdown::close(&leave, &listeners, &gate, &gateway).await;
     Ok(RunEnd::Left)
 }
 
--- a/crates/agent/src/feed.rs
+++ b/crates/agent/src/feed.rs
@@ -162,13 +162,13 @@
 }
 
 /// Whether an agent is among those of its availability zone that read the store. One that is not
-/// live yet reads it too: nobody tells it anything so far.
+/// live yet, or has left, reads it too: nobody else tells it anything.
 #[must_use]
 pub fn is_watcher(view: &FleetView, id: &AgentId) -> bool {
     let Some(own) = view.member(id) else {
         return true;
     };
-    if own.state == MemberState::Joining {
+    if own.state == MemberState::Joining || own.state.is_over() {
         return true;
     }
     let same_zone = |member: &&MemberRecord| {
--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -3,6 +3,7 @@
 //! The accept loop is the agent's own, since the workers of `actix-server` run on other threads and
 //! the decisions live on one.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -29,6 +30,7 @@
 use jy_types::name::Name;
 use serde::Serialize;
 use thiserror::Error;
+use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 
 /// Result of this module.
@@ -71,17 +73,74 @@
     })
 }
 
+/// Tells a listener's connections to close, and counts those that are open.
+#[derive(Clone, Debug, Default)]
+pub struct ConnectionDrain {
+    open: Rc<Cell<usize>>,
+    closing: Rc<Cell<bool>>,
+    changed: Rc<Notify>,
+}
+
+impl ConnectionDrain {
+    /// Makes a drain that closes nothing yet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Connections that are open.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Closes idle connections now, and each other one after its answer.
+    pub fn close(&self) {
+        self.closing.set(true);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until connections are to close.
+    async fn closed(self) {
+        while !self.closing.get() {
+            self.changed.notified().await;
+        }
+    }
+
+    /// Counts a connection until the returned value is dropped.
+    fn count(&self) -> OpenConnection {
+        self.open.set(self.open.get() + 1);
+        OpenConnection(Rc::clone(&self.open))
+    }
+}
+
+/// One open connection.
+#[derive(Debug)]
+struct OpenConnection(Rc<Cell<usize>>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
 /// Serves HTTP/1.1 on a listener with a handler. Never returns.
-pub async fn serve<H, F>(listener: TcpListener, limits: LimitSettings, handler: H)
-where
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: LimitSettings,
+    drain: ConnectionDrain,
+    handler: H,
+) where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Answer> + 'static,
 {
+    let closing = drain.clone();
     let permits = Arc::new(Semaphore::new(limits.connections));
     let service = HttpService::build()
         .keep_alive(Duration::from_millis(KEEP_ALIVE_MS))
         .client_request_timeout(Duration::from_millis(limits.head_timeout_ms))
         .tcp_nodelay(true)
+        .graceful_shutdown_signal(move || closing.clone().closed())
         .h1(fn_service(move |request: Request| {
             let answer = handler(request);
             async move { Ok::<_, actix_http::Error>(answer.await) }
@@ -97,8 +156,9 @@
         match listener.accept().await {
             Ok((stream, peer)) => {
                 let service = Rc::clone(&service);
+                let counted = drain.count();
                 actix_rt::spawn(async move {
-                    let _permit = permit;
+                    let _held = (permit, counted);
                     // A connection's own failure concerns its peer only.
                     drop(service.call((stream, Some(peer))).await);
                 });
--- a/crates/agent/src/listeners.rs
+++ b/crates/agent/src/listeners.rs
@@ -31,6 +31,7 @@
 use crate::http;
 use crate::http::Answer;
 use crate::http::BodyError;
+use crate::http::ConnectionDrain;
 use crate::identity;
 use crate::lease;
 use crate::lease::LeaseService;
@@ -43,7 +44,18 @@
 use crate::spread;
 use crate::spread::SpreadService;
 
-/// Starts the listeners and returns the callers' accept loop.
+/// What stopping needs of the listeners.
+#[derive(Debug)]
+pub struct ListenerSet {
+    /// The callers' accept loop.
+    pub accepting: JoinHandle<()>,
+    /// Callers' connections.
+    pub callers: ConnectionDrain,
+    /// Connections over which other agents forward.
+    pub peers: ConnectionDrain,
+}
+
+/// Starts the listeners.
 ///
 /// # Errors
 ///
@@ -52,7 +64,7 @@
     registry: &ServiceRegistry,
     settings: &Rc<AgentSettings>,
     leave: &LeaveSignal,
-) -> Result<JoinHandle<()>> {
+) -> Result<ListenerSet> {
     let listen = &settings.listen;
     let caller = http::bind("listen.caller", listen.caller).await?;
     let forward = http::bind("listen.peer_forward", listen.peer_forward).await?;
@@ -63,28 +75,44 @@
     registry.provide(rpc::SERVICE, Rc::new(handle))?;
 
     let limits = || settings.limits.clone();
+    let callers = ConnectionDrain::new();
+    let peers = ConnectionDrain::new();
     let gate = registry.find::<GateService>(gate::SERVICE)?;
     let body_limit = settings.limits.body_bytes;
-    actix_rt::spawn(http::serve(forward, limits(), move |request| {
-        serve_forward(Rc::clone(&gate), request, body_limit)
-    }));
+    actix_rt::spawn(http::serve(
+        forward,
+        limits(),
+        peers.clone(),
+        move |request| serve_forward(Rc::clone(&gate), request, body_limit),
+    ));
     let announcements = registry.find::<BackendService>(backend::SERVICE)?;
-    actix_rt::spawn(http::serve(announce, limits(), move |request| {
-        Rc::clone(&announcements).handle(request)
-    }));
+    actix_rt::spawn(http::serve(
+        announce,
+        limits(),
+        ConnectionDrain::new(),
+        move |request| Rc::clone(&announcements).handle(request),
+    ));
     let operator = Rc::new(operator_service(registry, leave)?);
     registry.provide(operator::SERVICE, Rc::clone(&operator))?;
-    actix_rt::spawn(http::serve(operators, limits(), move |request: Request| {
-        let operator = Rc::clone(&operator);
-        async move { operator.handle(&request) }
-    }));
+    actix_rt::spawn(http::serve(
+        operators,
+        limits(),
+        ConnectionDrain::new(),
+        move |request: Request| {
+            let operator = Rc::clone(&operator);
+            async move { operator.handle(&request) }
+        },
+    ));
     let gateway = registry.find::<GatewayService>(gateway::SERVICE)?;
     let closing = leave.clone();
-    Ok(actix_rt::spawn(http::serve(
-        caller,
-        limits(),
-        move |request| serve_caller(Rc::clone(&gateway), closing.clone(), request, body_limit),
-    )))
+    let handler =
+        move |request| serve_caller(Rc::clone(&gateway), closing.clone(), request, body_limit);
+    let accepting = actix_rt::spawn(http::serve(caller, limits(), callers.clone(), handler));
+    Ok(ListenerSet {
+        accepting,
+        callers,
+        peers,
+    })
 }
 
 /// Makes the operators' service.
--- a/crates/agent/src/shutdown.rs
+++ b/crates/agent/src/shutdown.rs
@@ -14,13 +14,17 @@
 use crate::feed::FeedService;
 use crate::gate::GateService;
 use crate::gateway::GatewayService;
+use crate::listeners::ListenerSet;
 
 /// Longest time to leave, in milliseconds; after it the agent stops and its lease runs out.
 const LEAVE_LIMIT_MS: u64 = 60_000;
 
-/// After the last request, callers get this long to see that their connections close, in
+/// Callers' connections get this long to close with an answer before idle ones are closed, in
 /// milliseconds.
-const QUIET_MS: u64 = 1_000;
+const LINGER_MS: u64 = 3_000;
+
+/// Requests that arrive as idle connections close get this long to end, in milliseconds.
+const CLOSE_LIMIT_MS: u64 = 10_000;
 
 /// Wait between two looks, in milliseconds.
 const LOOK_MS: u64 = 50;
@@ -66,17 +70,10 @@
     }
 }
 
-/// Waits until the agent has left: its units are others', its requests ended.
-pub async fn leave(
-    signal: &LeaveSignal,
-    id: &AgentId,
-    feed: &FeedService,
-    gate: &Rc<GateService>,
-    gateway: &GatewayService,
-    stop_accepting: impl Fn(),
-) {
-    let limit = clock::now().plus(LEAVE_LIMIT_MS);
+/// Waits until the agent has left: its units are others'.
+pub async fn hand_over(id: &AgentId, feed: &FeedService) {
     log::info!("leaving: handing units over");
+    let limit = clock::now().plus(LEAVE_LIMIT_MS);
     let has_left = || {
         let view = feed.view();
         view.member(id)
@@ -85,15 +82,31 @@
     while !has_left() && clock::now() < limit {
         sleep(Duration::from_millis(LOOK_MS)).await;
     }
+}
+
+/// Ends what runs and closes all connections: first each with its next answer, then the idle ones.
+pub async fn close(
+    signal: &LeaveSignal,
+    listeners: &ListenerSet,
+    gate: &Rc<GateService>,
+    gateway: &GatewayService,
+) {
+    let is_idle = || gate.is_idle() && gateway.open() == 0;
     signal.closing.set(true);
-    stop_accepting();
+    listeners.accepting.abort();
     gate.step(GateEvent::Drain);
-    let mut quiet_since = clock::now();
-    while clock::now() < limit && clock::now().since(quiet_since) < QUIET_MS {
-        if !gate.is_idle() || gateway.open() > 0 {
-            quiet_since = clock::now();
-        }
+    wait_until(LINGER_MS, || is_idle() && listeners.callers.open() == 0).await;
+    listeners.callers.close();
+    listeners.peers.close();
+    let is_closed = || listeners.callers.open() + listeners.peers.open() == 0;
+    wait_until(CLOSE_LIMIT_MS, || is_idle() && is_closed()).await;
+    log::info!("left: units handed over, requests ended");
+}
+
+/// Waits until something holds, at most `millis` milliseconds.
+async fn wait_until(millis: u64, holds: impl Fn() -> bool) {
+    let limit = clock::now().plus(millis);
+    while !holds() && clock::now() < limit {
         sleep(Duration::from_millis(LOOK_MS)).await;
     }
-    log::info!("left: units handed over, requests ended");
 }
