ctl: tests of what the commands make of the agents' answers

Cause: watch, status and exit codes were tried by hand only. Change: a fleet of answers behind `with_fetch`: who lacks a revision, who is silent, imbalance by hand, nearest name, exit codes 2 and 3, an example in every help.

--- /dev/null
+++ b/crates/ctl/tests/test_fleet.rs
@@ -0,0 +1,146 @@
+//! What the commands make of the agents' answers.
+
+use std::rc::Rc;
+
+use futures_util::FutureExt;
+use googletest::prelude::*;
+use jy_ctl::error::CtlError;
+use jy_ctl::error::EXIT_UNREACHABLE;
+use jy_ctl::error::EXIT_USAGE;
+use jy_ctl::fleet::FetchFn;
+use jy_ctl::fleet::FleetClient;
+use jy_ctl::status;
+use jy_ctl::watch::SpreadTally;
+use jy_types::status::STATUS_PATH;
+use jy_types::status::ServiceStatus;
+
+/// A fleet of agents "a", "b" and a dead "c" by port; "a" is at revision 7, "b" at `revision` or
+/// silent.
+///
+/// # Panics
+///
+/// Never: the addresses are well formed.
+fn fleet(revision: Option<u64>, asked: &[u16]) -> FleetClient {
+    let fetch: FetchFn = Rc::new(move |address, _, path| {
+        let answer = match (address.port(), path == STATUS_PATH) {
+            (1, false) => Some(format!(
+                "[{},{},{}]",
+                member("b", 2, "live"),
+                member("c", 3, "dead"),
+                member("a", 1, "live")
+            )),
+            (1, true) => Some(agent("a", 7)),
+            (2, true) => revision.map(|revision| agent("b", revision)),
+            _ => None,
+        };
+        let silent = move || CtlError::Agent {
+            address: address.to_string().into(),
+            cause: "told to fail".into(),
+            hint: "none",
+        };
+        Box::pin(async move { answer.map(String::into_bytes).ok_or_else(silent) })
+    });
+    let address = |port: &u16| format!("127.0.0.1:{port}").parse().expect("an address");
+    FleetClient::with_fetch(asked.iter().map(address).collect(), fetch)
+}
+
+/// A member as the records have it.
+fn member(name: &str, port: u16, state: &str) -> String {
+    format!(
+        r#"{{"id": {{"name": "{name}", "incarnation": 1}}, "state": "{state}", "operator_addr": "127.0.0.1:{port}",
+        "place": {{"region": "r", "zone": "z", "rack": "k"}}, "endpoint": null}}"#
+    )
+}
+
+/// An agent's own answer.
+fn agent(name: &str, revision: u64) -> String {
+    format!(
+        r#"{{"id": {{"name": "{name}", "incarnation": 1}}, "place": {{"region": "r", "zone": "z", "rack": "k"}},
+        "state": "live", "revision": {revision}, "lease_left_ms": 900, "controller": {{"name": "a", "incarnation": 1}},
+        "term": 3, "watches_store": true, "store_reachable": true, "in_flight": 0, "units": 5}}"#
+    )
+}
+
+/// Looks at the fleet.
+///
+/// # Panics
+///
+/// If no agent answers.
+fn sights(revision: Option<u64>) -> Vec<jy_ctl::fleet::AgentSight> {
+    let fleet = fleet(revision, &[9, 1]);
+    let sights = fleet.sights().now_or_never().expect("answered at once");
+    sights.expect("the second given agent answers")
+}
+
+#[gtest]
+fn tally_names_who_lacks_revision() -> Result<()> {
+    let behind = SpreadTally::new(7, &sights(Some(6)));
+    verify_that!(
+        (behind.have, behind.asked, behind.is_complete()),
+        eq((1, 2, false))
+    )?;
+    verify_that!(behind.missing, elements_are![eq("b (at revision 6)")])?;
+    let silent = SpreadTally::new(7, &sights(None));
+    verify_that!(silent.missing, elements_are![eq("b (no answer)")])?;
+    verify_that!(
+        SpreadTally::new(7, &sights(Some(8))).is_complete(),
+        eq(true)
+    )?;
+    verify_that!(SpreadTally::new(7, &[]).is_complete(), eq(false))
+}
+
+#[gtest]
+fn summary_says_who_is_silent() -> Result<()> {
+    let text = status::summary(&sights(None));
+    verify_that!(
+        text,
+        contains_substring("agents      2 live, 0 joining, 0 leaving; 1 of 2 answer")
+    )?;
+    verify_that!(
+        text,
+        contains_substring("controller  a, term 3, known to 1 of 1 agents")
+    )?;
+    verify_that!(text, contains_substring("no answer   b"))
+}
+
+#[gtest]
+fn imbalance_is_peak_over_mean() -> Result<()> {
+    // 6 and 2 units: the mean is 4, the peak 1.5 times as much.
+    let text = r#"{"workspace": "w", "service": "s", "unassigned": 0, "moving": 0, "owners": [
+        {"owner": {"name": "a", "incarnation": 1}, "units": 6},
+        {"owner": {"name": "b", "incarnation": 1}, "units": 2}]}"#;
+    let service: ServiceStatus = serde_json::from_str(text).expect("a service");
+    verify_that!(status::imbalance(&service), some(near(1.5, 1e-9)))
+}
+
+#[gtest]
+fn find_offers_nearest_name() -> Result<()> {
+    let fleet = fleet(None, &[1]);
+    let error = fleet
+        .find("c")
+        .now_or_never()
+        .expect("at once")
+        .expect_err("c is dead");
+    verify_that!(error, displays_as(contains_substring("known here: a, b")))
+}
+
+#[gtest]
+fn run_ends_with_documented_codes() -> Result<()> {
+    let run = |line: &str| {
+        let arguments: Vec<_> = line.split(' ').map(str::to_owned).collect();
+        actix_rt::System::new()
+            .block_on(jy_ctl::run(&arguments))
+            .map_err(|error| error.exit_code())
+    };
+    verify_that!(run("acept"), err(eq(&EXIT_USAGE)))?;
+    verify_that!(run("burn --agent 127.0.0.1:1"), err(eq(&EXIT_USAGE)))?;
+    verify_that!(
+        run("status --agent 127.0.0.1:1"),
+        err(eq(&EXIT_UNREACHABLE))
+    )?;
+    for command in jy_ctl::COMMANDS {
+        let help = run(&format!("{} --help", command.name)).expect("help");
+        verify_that!(help.text, contains_substring("example:\n    jyctl "))?;
+    }
+    Ok(())
+}
