--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,9 +3,17 @@
 use std::process::ExitCode;
 
 use anyhow::Result;
+use jy_bench::config_race;
+use jy_bench::cost;
 use jy_bench::demo;
 use jy_bench::lease;
+use jy_bench::lease_cost;
+use jy_bench::lease_faults;
+use jy_bench::lease_search;
+use jy_bench::lease_traces;
 use jy_bench::once;
+use jy_bench::path;
+use jy_bench::placement;
 use jy_bench::policy;
 use jy_bench::report;
 use jy_bench::trials;
@@ -19,6 +27,11 @@
 
 /// All subcommands.
 const COMMANDS: &[BenchCommand] = &[
+    BenchCommand {
+        name: "config-race",
+        help: "operators who race, lost answers, agents that hear late: does anything revert?",
+        run: config_race::run,
+    },
     BenchCommand {
         name: "demo",
         help: "both deployments as processes: load, an owner lost, an agent that leaves",
@@ -44,6 +57,41 @@
         help: "faults on real processes: owner, loss, outage, zone-out, answers, once, ...",
         run: trials::run,
     },
+    BenchCommand {
+        name: "lease-exhaustive",
+        help: "every course of small instances of the lease protocol",
+        run: lease_search::exhaustive,
+    },
+    BenchCommand {
+        name: "lease-faults",
+        help: "single faults, for each choice of the lease protocol's design",
+        run: lease_faults::faults,
+    },
+    BenchCommand {
+        name: "lease-cost",
+        help: "processor time and bytes of the lease protocol",
+        run: lease_cost::cost,
+    },
+    BenchCommand {
+        name: "lease-record",
+        help: "records the traces of the lease protocol into --dir",
+        run: lease_traces::record,
+    },
+    BenchCommand {
+        name: "placement",
+        help: "imbalance, churn and settling of the placement in a fake fleet; sizes as arguments",
+        run: placement::run,
+    },
+    BenchCommand {
+        name: "path",
+        help: "latency and processor time of a request: direct, same agent, across agents",
+        run: path::run,
+    },
+    BenchCommand {
+        name: "cost",
+        help: "processor time, memory, bytes and store calls of control, by fleet size",
+        run: cost::run,
+    },
 ];
 
 fn main() -> ExitCode {
--- a/crates/bench/src/plan.rs
+++ b/crates/bench/src/plan.rs
@@ -163,8 +163,8 @@
             service("registry", false),
             service("catalogue", false),
         ],
-        accepted: None,
         token: 1,
+        accepted: None,
     }
 }
 
@@ -181,8 +181,8 @@
             service("orderbook", false),
             service("cataloguer", false),
         ],
-        accepted: None,
         token: 2,
+        accepted: None,
     }
 }
 
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -2,6 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 
 use jy_feed::view::FleetView;
 use jy_feed::view::ServiceKey;
@@ -9,7 +12,9 @@
 use jy_types::member::MemberRecord;
 use jy_types::name::Name;
 use jy_types::peer::ReleaseNotice;
+use jy_types::record::Record;
 use jy_types::record::RecordBatch;
+use jy_types::record::RecordKey;
 use jy_types::record::member_key;
 use jy_types::time::Millis;
 use rand::SeedableRng;
@@ -35,6 +40,9 @@
 /// Everything is looked at again after this time, in milliseconds.
 const REVIEW_EVERY_MS: u64 = 250;
 
+/// Members are looked at again after this time, in milliseconds.
+const MEMBERS_EVERY_MS: u64 = 250;
+
 /// State of a controller.
 #[derive(Clone, Debug)]
 pub struct ControlState {
@@ -49,6 +57,10 @@
     releases: BTreeMap<ServiceKey, ReleaseMap>,
     services: BTreeMap<ServiceKey, ServiceNotes>,
     due: Millis,
+    /// Hash of who is a member in which state.
+    roster: u64,
+    /// Members are looked at again at this point.
+    members_due: Millis,
     /// Whether something changed that the services have not been looked at with.
     dirty: bool,
 }
@@ -68,6 +80,8 @@
             releases: BTreeMap::new(),
             services: BTreeMap::new(),
             due: Millis::MAX,
+            roster: 0,
+            members_due: Millis::default(),
             dirty: true,
             settings,
         }
@@ -161,12 +175,19 @@
             *known = record.revision.max(*known);
             newer
         });
-        self.dirty |= !records.is_empty();
+        let is_page_or_workspace = |record: &Record| {
+            let key = RecordKey::parse(&record.key);
+            !matches!(key, Some(RecordKey::Member(_)))
+        };
+        self.dirty |= records.iter().any(is_page_or_workspace);
         for record in &records {
             self.ledger.observe(&record.key, record.revision);
         }
         let view = std::mem::take(&mut self.view);
         (self.view, _) = view.with_records(&records, batch.complete_to);
+        let roster = hash_roster(&self.view);
+        self.dirty |= roster != self.roster;
+        self.roster = roster;
         let newest = self.view.term.as_ref().map_or(0, |term| term.value.term);
         if self.role.as_ref().is_some_and(|role| role.term < newest) && !self.breaks_term() {
             self.stop();
@@ -193,18 +214,22 @@
         let Some(mut role) = self.role.take() else {
             return (self, Vec::new());
         };
-        self.ledger.refresh(now);
+        self.dirty |= self.ledger.refresh(now);
         self.dirty |= self.loads.refresh(now, &self.view);
         self.members = self.members.with_members(now, &self.view);
         let mut actions = Vec::new();
         let verdicts = self.members.verdicts(now, &self.view, role.term);
         self.write_members(now, verdicts, &mut actions);
+        let stirred = self.dirty || !actions.is_empty() || self.ledger.is_busy();
         let waits = self.services.values().any(ServiceNotes::waits);
-        if self.dirty || waits || self.ledger.is_busy() {
+        if self.dirty || waits {
             self.dirty = false;
             self.review_services(now, &mut role, &mut actions);
         }
-        self.review_members(now, role.term, &mut actions);
+        if stirred || now >= self.members_due {
+            self.members_due = now.plus(MEMBERS_EVERY_MS);
+            self.review_members(now, role.term, &mut actions);
+        }
         if self.ledger.is_busy() {
             self.due = self.due.min(now.plus(GATHER_MS * 2));
         }
@@ -253,11 +278,16 @@
         if !self.ledger.has_room() {
             return;
         }
-        let owners = owner_names(&self.view);
+        let owners = self
+            .members
+            .has_leaving(&self.view)
+            .then(|| owner_names(&self.view));
         let fleet = FleetWatch::new(&self.settings, term, &self.view, &self.ledger);
-        let owns = |id: &AgentId| owners.contains(id);
+        let owns = |id: &AgentId| owners.as_ref().is_some_and(|owners| owners.contains(id));
         let transitions = self.members.transitions(now, &self.view, &fleet, owns);
-        let changes = self.members.monitor_changes(now, &self.view, &fleet);
+        let changes = self
+            .members
+            .monitor_changes(now, &self.view, &fleet, self.ledger.room());
         let removals = self.members.removals(now, &self.view);
         self.write_members(now, transitions, actions);
         self.write_members(now, changes, actions);
@@ -298,3 +328,14 @@
         .flat_map(|page| page.value.owners.iter().cloned())
         .collect()
 }
+
+/// Hashes who is a member, in which state and whether with a backend server: what units depend on.
+fn hash_roster(view: &FleetView) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    for member in view.members.values().map(|member| &member.value) {
+        member.id.hash(&mut hasher);
+        std::mem::discriminant(&member.state).hash(&mut hasher);
+        member.endpoint.is_some().hash(&mut hasher);
+    }
+    hasher.finish()
+}
--- a/crates/control/src/fake_fleet.rs
+++ b/crates/control/src/fake_fleet.rs
@@ -152,12 +152,6 @@
         &self.agents
     }
 
-    /// A copy of the first candidate's controller.
-    #[must_use]
-    pub fn copy_controller(&self) -> Option<ControlState> {
-        self.candidates.first()?.control.clone()
-    }
-
     /// The load on each service.
     #[must_use]
     pub const fn loads(&self) -> &BTreeMap<ServiceKey, FakeLoad> {
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -1,6 +1,7 @@
 //! Members: verdicts, joins, departures and changes of monitors.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use jy_feed::view::FleetView;
 use jy_feed::view::Revised;
@@ -13,7 +14,6 @@
 use jy_types::time::Millis;
 
 use crate::api::ControlSettings;
-use crate::monitors::find_defects;
 use crate::watches::FleetWatch;
 use crate::watches::change;
 use crate::writes::WriteBody;
@@ -53,6 +53,8 @@
     suspects: BTreeMap<AgentId, Millis>,
     joining_since: BTreeMap<AgentId, Millis>,
     over_since: BTreeMap<AgentId, Millis>,
+    /// When replaced incarnations were first read. As monitors they support nobody any more.
+    replaced_since: BTreeMap<AgentId, Millis>,
 }
 
 /// A wanted change of a member's record.
@@ -69,6 +71,7 @@
             suspects: BTreeMap::new(),
             joining_since: BTreeMap::new(),
             over_since: BTreeMap::new(),
+            replaced_since: BTreeMap::new(),
         }
     }
 
@@ -105,8 +108,7 @@
         for member in view.members.values().map(|member| &member.value) {
             if member.state.is_over() {
                 if !self.over_since.contains_key(&member.id) {
-                    self.tally = self.tally.with_over(now, &member.id);
-                    self.over_since.insert(member.id.clone(), now);
+                    self = self.with_over(now, member);
                 }
                 self.suspects.remove(&member.id);
                 self.reports.remove(&member.id);
@@ -115,7 +117,14 @@
                 self.joining_since.entry(member.id.clone()).or_insert(now);
             }
         }
+        for id in replaced(view) {
+            if !self.replaced_since.contains_key(&id) {
+                self.tally = self.tally.with_over(now, &id);
+                self.replaced_since.insert(id, now);
+            }
+        }
         let known = |id: &AgentId| view.members.contains_key(id);
+        self.replaced_since.retain(|id, _| known(id));
         self.over_since.retain(|id, _| known(id));
         self.reports.retain(|id, _| known(id));
         self.suspects.retain(|id, _| known(id));
@@ -123,12 +132,30 @@
         self
     }
 
+    /// Notes that a member is over. Only a dead one counts as a vote later on: one that left may
+    /// support others for as long as its own lease lives.
+    #[must_use]
+    fn with_over(mut self, now: Millis, member: &MemberRecord) -> Self {
+        if member.state == MemberState::Dead {
+            self.tally = self.tally.with_over(now, &member.id);
+        }
+        self.over_since.insert(member.id.clone(), now);
+        self
+    }
+
     /// Whether somebody voted against an agent after `since` and no verdict has come yet.
     #[must_use]
     pub fn has_suspects(&self, since: Millis) -> bool {
         self.suspects.values().any(|first| *first >= since)
     }
 
+    /// Whether somebody is leaving.
+    #[must_use]
+    pub fn has_leaving(&self, view: &FleetView) -> bool {
+        view.present()
+            .any(|member| member.state == MemberState::Leaving)
+    }
+
     /// Whether an agent still answers.
     fn answers(&self, now: Millis, id: &AgentId) -> bool {
         self.reports
@@ -196,13 +223,14 @@
     }
 
     /// Returns changes of monitors: ends of changes that the agent acknowledged, then sets that
-    /// lost monitors, then sets that are too small or badly placed.
+    /// lost monitors, then sets that are too small or badly placed. At most `most` of them.
     #[must_use]
     pub fn monitor_changes(
         &self,
         now: Millis,
         view: &FleetView,
         fleet: &FleetWatch<'_>,
+        most: usize,
     ) -> Vec<MemberWrite> {
         let mut ends = Vec::new();
         let mut losses = Vec::new();
@@ -210,7 +238,11 @@
         let mut under_way = 0;
         for member in view.members.values() {
             let record = &member.value;
-            if !matches!(record.state, MemberState::Live | MemberState::Leaving) {
+            let settled = fleet
+                .present
+                .get(&record.id)
+                .is_some_and(|newest| newest.next_monitors == record.next_monitors);
+            if !settled || !matches!(record.state, MemberState::Live | MemberState::Leaving) {
                 continue;
             }
             if let Some(next) = &record.next_monitors {
@@ -220,12 +252,7 @@
                     ends.push(change(member, fleet.term, end_change));
                 }
             } else if self.answers(now, &record.id) {
-                let defects = find_defects(
-                    record,
-                    &record.monitors,
-                    &fleet.present,
-                    fleet.settings.monitors,
-                );
+                let defects = fleet.defects(record, &record.monitors);
                 if defects.lost > 0 {
                     losses.push(member);
                 } else if defects.missing > 0 || defects.misplaced > 0 {
@@ -239,10 +266,13 @@
         let better = improvements.into_iter().map(|(_, member)| member);
         let mut improved = 0;
         for member in losses {
+            if ends.len() >= most {
+                break;
+            }
             ends.extend(fleet.replace(member, &mut counts));
         }
         for member in better {
-            if improved >= room {
+            if improved >= room || ends.len() >= most {
                 break;
             }
             let write = fleet.replace(member, &mut counts);
@@ -265,6 +295,14 @@
     }
 }
 
+/// Returns the incarnations that a present one replaces at their addresses.
+#[must_use]
+pub fn replaced(view: &FleetView) -> BTreeSet<AgentId> {
+    view.present()
+        .flat_map(|member| member.replaces.iter().cloned())
+        .collect()
+}
+
 /// Whether a page or a present member's monitor set names an agent.
 fn is_named(view: &FleetView, id: &AgentId) -> bool {
     let in_set = |set: &MonitorSet| set.monitors.contains(id);
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod accept;
 pub mod args;
+pub mod burn;
 pub mod clock;
 pub mod command;
 pub mod configure;
@@ -10,6 +11,7 @@
 pub mod error;
 pub mod files;
 pub mod fleet;
+pub mod replay;
 pub mod status;
 pub mod watch;
 pub mod zone;
@@ -30,6 +32,7 @@
     status::OWNER,
     zone::ZONE,
     drain::DRAIN,
+    burn::BURN,
 ];
 
 /// Runs one command line and returns what to print.
