--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod load;
 pub mod node;
 pub mod once;
+pub mod once_callers;
 pub mod once_model;
 pub mod once_owners;
 pub mod path;
--- a/crates/bench/src/once_model.rs
+++ b/crates/bench/src/once_model.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
 
-use jy_gate::api::Arrival;
 use jy_gate::api::DispatchEnd;
 use jy_gate::api::GateAction;
 use jy_gate::api::GateEvent;
@@ -12,14 +11,11 @@
 use jy_gate::replay::BrokenRule;
 use jy_gate::replay::broken_event;
 use jy_gate::replay::broken_settings;
-use jy_types::key::SliceId;
 use jy_types::key::Unit;
 use jy_types::name::Name;
 use jy_types::peer::StoredAnswer;
 use jy_types::request::RunState;
 use jy_types::time::Millis;
-use jy_types::time::WallMillis;
-use jy_types::workspace::Urgency;
 use rand::Rng;
 use rand::rngs::StdRng;
 
@@ -41,11 +37,8 @@
 /// The wall clock at point zero.
 pub(crate) const WALL_ZERO: u64 = 1_800_000_000_000;
 
-/// Largest error of a caller's clock, below the one that the gates allow for, in milliseconds.
-const CALLER_ERROR_MS: u64 = 900;
-
 /// A caller repeats an id without a time within this time, in milliseconds.
-const PLAIN_REPEAT_MS: u64 = 8_000;
+pub(crate) const PLAIN_REPEAT_MS: u64 = 8_000;
 
 /// Counts of schedules.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -106,24 +99,24 @@
 
 /// A request of a caller.
 #[derive(Clone, Debug)]
-struct OnceRequest {
-    id: Name,
-    is_plain: bool,
-    first: Millis,
-    unit: Unit,
-    digest: u64,
-    runs: u32,
+pub(crate) struct OnceRequest {
+    pub(crate) id: Name,
+    pub(crate) is_plain: bool,
+    pub(crate) first: Millis,
+    pub(crate) unit: Unit,
+    pub(crate) digest: u64,
+    pub(crate) runs: u32,
 }
 
 /// A request as one gate got it.
 #[derive(Clone, Debug)]
-struct OnceJob {
-    request: usize,
-    gate: usize,
-    incarnation: u64,
-    deadline: Millis,
-    ran: bool,
-    is_over: bool,
+pub(crate) struct OnceJob {
+    pub(crate) request: usize,
+    pub(crate) gate: usize,
+    pub(crate) incarnation: u64,
+    pub(crate) deadline: Millis,
+    pub(crate) ran: bool,
+    pub(crate) is_over: bool,
 }
 
 /// A run at a backend server.
@@ -143,9 +136,9 @@
     pub(crate) gates: Vec<OnceGate>,
     pub(crate) settings: GateSettings,
     broken: Option<BrokenRule>,
-    requests: Vec<OnceRequest>,
-    jobs: BTreeMap<u64, OnceJob>,
-    next_ticket: u64,
+    pub(crate) requests: Vec<OnceRequest>,
+    pub(crate) jobs: BTreeMap<u64, OnceJob>,
+    pub(crate) next_ticket: u64,
     runs: BTreeMap<Unit, OnceRun>,
     pub(crate) counts: HarmCounts,
 }
@@ -218,87 +211,6 @@
         }
     }
 
-    /// A caller sends a new request or repeats an old one, mostly to its owner.
-    fn caller(&mut self) {
-        if self.is_on() {
-            let gap = self.rng.random_range(5..120);
-            self.push(gap, OnceEvent::Caller);
-        }
-        let number = self.pick_request();
-        let request = self.requests[number].clone();
-        let gate = if self.rng.random_bool(0.9) {
-            self.owner_of(request.unit)
-        } else {
-            Some(self.rng.random_range(0..GATES))
-        };
-        let Some(gate) = gate else {
-            return;
-        };
-        self.counts.requests += 1;
-        let ticket = self.next_ticket;
-        self.next_ticket += 1;
-        let deadline = self.now.plus(self.rng.random_range(20..1_500));
-        let job = OnceJob {
-            request: number,
-            gate,
-            incarnation: self.gates[gate].incarnation,
-            deadline,
-            ran: false,
-            is_over: false,
-        };
-        self.jobs.insert(ticket, job);
-        let arrival = Arrival {
-            ticket,
-            unit: Some(request.unit),
-            idempotent: false,
-            idempotency_key: Some(request.id),
-            digest: request.digest,
-            urgency: Urgency::Normal,
-            deadline,
-            received: WallMillis(WALL_ZERO + self.now.0),
-        };
-        self.step(gate, GateEvent::Arrive(arrival));
-    }
-
-    /// Chooses an old request to repeat, or makes a new one.
-    fn pick_request(&mut self) -> usize {
-        if !self.requests.is_empty() && self.rng.random_bool(0.5) {
-            let recent = self.requests.len().saturating_sub(40);
-            let number = self.rng.random_range(recent..self.requests.len());
-            let request = &self.requests[number];
-            if !request.is_plain || self.now.since(request.first) < PLAIN_REPEAT_MS {
-                return number;
-            }
-        }
-        let number = self.requests.len();
-        let is_plain = self.rng.random_bool(0.3);
-        let id = if is_plain {
-            format!("order-{number}")
-        } else {
-            self.timed_id(number)
-        };
-        self.requests.push(OnceRequest {
-            id: id.into(),
-            is_plain,
-            first: self.now,
-            unit: Unit::Slice(SliceId(self.rng.random_range(0..UNITS))),
-            digest: number as u64,
-            runs: 0,
-        });
-        number
-    }
-
-    /// Makes a UUIDv7 by a clock that is a little wrong.
-    fn timed_id(&mut self, number: usize) -> String {
-        let error = self.rng.random_range(0..=2 * CALLER_ERROR_MS);
-        let wall = WALL_ZERO + self.now.0 + error - CALLER_ERROR_MS;
-        format!(
-            "{:08x}-{:04x}-7000-8000-{number:012x}",
-            wall >> 16,
-            wall & 0xffff
-        )
-    }
-
     /// Steps a gate, unless it is frozen: then it hears of the event when it goes on.
     pub(crate) fn step(&mut self, number: usize, event: GateEvent) {
         if self.gates[number].frozen {
