--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -11,6 +11,7 @@
 use jy_bench::lease_faults;
 use jy_bench::lease_search;
 use jy_bench::lease_traces;
+use jy_bench::once;
 use jy_bench::path;
 use jy_bench::placement;
 use jy_bench::policy;
@@ -41,6 +42,11 @@
         help: "random schedules of the lease protocol, and each rule broken on purpose",
         run: lease::check,
     },
+    BenchCommand {
+        name: "once",
+        help: "random schedules of repeats, moves and losses: double runs, false refusals",
+        run: once::run,
+    },
     BenchCommand {
         name: "policy",
         help: "tail, overload, cold start and retries in virtual time, beside a baseline",
