agent: take an answer that is cut short for an error

The HTTP client takes the end of a connection for the end of a body, whatever length or last chunk is missing, and drops a body that only the end of the connection ends. Now the end of a connection is an error for the reader, and an answer that states no length is refused as outcome unknown. Ruled out: comparing content-length alone, which leaves chunked answers.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -32,3 +32,4 @@
 pub mod ties;
 pub mod timer;
 pub mod tracing;
+pub mod whole;
--- a/crates/agent/src/send.rs
+++ b/crates/agent/src/send.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use actix_http::Method;
+use actix_http::StatusCode;
 use actix_http::header::HeaderMap;
 use actix_http::header::HeaderName;
 use actix_http::header::HeaderValue;
@@ -17,6 +19,7 @@
 use crate::exchange::RequestExchange;
 use crate::exchange::WholeAnswer;
 use crate::http::header;
+use crate::whole;
 
 /// Longest wait for a connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 300;
@@ -47,6 +50,7 @@
 #[must_use]
 pub fn client(connections: usize) -> Client {
     let connector = Connector::new()
+        .connector(whole::connector())
         .limit(connections)
         .timeout(Duration::from_millis(CONNECT_TIMEOUT_MS))
         .conn_keep_alive(Duration::from_millis(IDLE_MS));
@@ -88,6 +92,9 @@
         Err(error) => return failed(&error),
     };
     let headers = response.headers().clone();
+    if !states_length(response.status(), &headers, &exchange.method) {
+        return SendEnd::Unknown("the answer states no length".into());
+    }
     let body = match response.body().limit(ANSWER_LIMIT).await {
         Ok(body) => body,
         Err(error) => return SendEnd::Unknown(error.to_string().into()),
@@ -102,6 +109,16 @@
     }
 }
 
+/// Whether an answer tells where its body ends, or has none.
+fn states_length(status: StatusCode, headers: &HeaderMap, method: &Method) -> bool {
+    let has_no_body = method == Method::HEAD
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
+    has_no_body
+        || header(headers, "content-length").is_some()
+        || header(headers, "transfer-encoding").is_some()
+}
+
 /// Tells whether anything of a failed request went out.
 fn failed(error: &SendRequestError) -> SendEnd {
     let cause = error.to_string().into();
