--- a/crates/bench/src/cost.rs
+++ b/crates/bench/src/cost.rs
@@ -107,7 +107,8 @@
 ///
 /// What could not be done.
 async fn measure_size(args: &BenchArgs, size: usize) -> Result<CostPoint> {
-    let record = plan::seal_record();
+    let mut record = plan::seal_record();
+    record.services.retain(|service| service.keyed);
     let mut plan = FleetPlan::new().with_agents("kingston", &record.zones, size);
     plan.workspaces.push(record);
     let options = FleetOptions {
