agent: count unavailable time of keys once per service, durations of answers only

Cause: the burn report showed 0.00 s of unavailable keys after an owner was killed, since only requests refused as key unavailable were counted; and quick refusals improved the latency objective. Ruled out: the sum over slices and gateways, which says nothing about how long a key was out. Change: a meter at the gateway counts, for each service, the time from a slice's first failed attempt to its next answer, slices together once; the histogram takes answered requests only.

--- a/crates/agent/src/gateway.rs
+++ b/crates/agent/src/gateway.rs
@@ -18,12 +18,15 @@
 use jy_route::api::RouteRequest;
 use jy_route::api::RouteSettings;
 use jy_route::core::RouteState;
+use jy_types::key::KeyHash;
+use jy_types::key::SliceId;
 use jy_types::member::AgentId;
 use jy_types::request::IN_FLIGHT_HEADER;
 use jy_types::request::KEY_HEADER;
 use jy_types::request::RECEIVED_HEADER;
 use jy_types::request::REQUEST_ID_HEADER;
 use jy_types::request::Refusal;
+use jy_types::request::RefusalKind;
 use jy_types::request::SERVICE_HEADER;
 use jy_types::request::TIMEOUT_HEADER;
 use jy_types::request::WORKSPACE_HEADER;
@@ -39,6 +42,7 @@
 use crate::gate::read_key;
 use crate::http::header;
 use crate::metrics::AgentMetrics;
+use crate::outage::OutageMeter;
 use crate::send;
 use crate::send::SendEnd;
 use crate::timer::TickerWake;
@@ -63,6 +67,7 @@
 struct OpenCall {
     exchange: Rc<RequestExchange>,
     deadline: Millis,
+    slice: Option<SliceId>,
     reply: oneshot::Sender<ExchangeReply>,
     attempts: BTreeMap<u32, AttemptSlot>,
 }
@@ -75,6 +80,7 @@
     view: RefCell<Arc<FleetView>>,
     gate: Rc<GateService>,
     metrics: Rc<AgentMetrics>,
+    outages: RefCell<OutageMeter>,
     client: Client,
     pull: RefCell<Option<PullFn>>,
     next_ticket: Cell<u64>,
@@ -93,6 +99,7 @@
             view: RefCell::new(Arc::new(FleetView::new())),
             gate,
             metrics,
+            outages: RefCell::default(),
             client: send::client(FORWARD_CONNECTIONS),
             pull: RefCell::default(),
             next_ticket: Cell::new(1),
@@ -155,6 +162,7 @@
         let call = OpenCall {
             exchange,
             deadline: request.deadline,
+            slice: request.key.map(KeyHash::slice),
             reply: sender,
             attempts: BTreeMap::new(),
         };
@@ -294,6 +302,7 @@
     ) {
         if let Some(call) = self.calls.borrow_mut().get_mut(&ticket) {
             call.attempts.entry(attempt).or_default().reply = reply;
+            self.note_outage(call, &end);
         }
         self.step(RouteEvent::Ended {
             ticket,
@@ -303,6 +312,23 @@
         });
     }
 
+    /// Counts the time during which keys can't be served.
+    fn note_outage(&self, call: &OpenCall, end: &AttemptEnd) {
+        let Some(slice) = call.slice else {
+            return;
+        };
+        let exchange = &call.exchange;
+        let service: ServiceKey = (exchange.workspace.clone(), exchange.service.clone());
+        let now = clock::now();
+        let mut meter = self.outages.borrow_mut();
+        let counted = if is_outage(end) {
+            meter.note_failed(now, &service, slice)
+        } else {
+            meter.note_served(now, &service, slice)
+        };
+        self.metrics.note_unavailable(&service, counted);
+    }
+
     /// Stops an attempt: its connection is closed.
     fn cancel(&self, ticket: u64, attempt: u32) {
         let mut calls = self.calls.borrow_mut();
@@ -386,6 +412,21 @@
     }
 }
 
+/// Whether an attempt ended because nobody served its key at that moment.
+const fn is_outage(end: &AttemptEnd) -> bool {
+    match end {
+        AttemptEnd::Answered => false,
+        AttemptEnd::NotSent | AttemptEnd::Unknown => true,
+        AttemptEnd::Refused { kind, .. } => matches!(
+            kind,
+            RefusalKind::NotOwner
+                | RefusalKind::Leaving
+                | RefusalKind::KeyUnavailable
+                | RefusalKind::NoEndpoint
+        ),
+    }
+}
+
 /// Tells routing how an attempt ended.
 const fn attempt_end(reply: &ExchangeReply) -> AttemptEnd {
     match reply {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod member;
 pub mod metrics;
 pub mod operator;
+pub mod outage;
 pub mod own_record;
 pub mod peers;
 pub mod report;
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -3,7 +3,6 @@
 use std::sync::atomic::AtomicU64;
 
 use jy_feed::view::ServiceKey;
-use jy_types::request::RefusalKind;
 use jy_types::status::DURATION_METRIC;
 use jy_types::status::REQUESTS_METRIC;
 use jy_types::status::START_METRIC;
@@ -27,6 +26,9 @@
     0.001, 0.002, 0.004, 0.008, 0.012, 0.018, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
 ];
 
+/// Outcome of a request that was answered.
+const SERVED: &str = "served";
+
 /// Milliseconds of a second.
 const MILLIS_PER_SECOND: f64 = 1_000.0;
 
@@ -85,11 +87,7 @@
             unavailable.clone(),
         );
         let start: Gauge<f64, AtomicU64> = Gauge::default();
-        #[expect(
-            clippy::cast_precision_loss,
-            reason = "milliseconds of a date fit 53 bits"
-        )]
-        start.set(started.0 as f64 / MILLIS_PER_SECOND);
+        start.set(seconds(started.0));
         registry.register(START_METRIC, "Start of the process", start);
         let lease_left = Gauge::default();
         registry.register(
@@ -116,10 +114,10 @@
         }
     }
 
-    /// Counts a finished request and how long it took in milliseconds.
+    /// Counts a finished request and, if it was answered, how long that took in milliseconds.
     pub fn note_request(&self, service: &ServiceKey, reply: &ExchangeReply, took_ms: u64) {
         let outcome = match reply {
-            ExchangeReply::Answered(_) => "served",
+            ExchangeReply::Answered(_) => SERVED,
             ExchangeReply::Refused(refusal) => refusal.kind.name(),
         };
         let labels = OutcomeLabels {
@@ -128,31 +126,26 @@
             outcome,
         };
         self.requests.get_or_create(&labels).inc();
-        #[expect(
-            clippy::cast_precision_loss,
-            reason = "a request's duration fits 53 bits"
-        )]
-        let seconds = took_ms as f64 / MILLIS_PER_SECOND;
-        self.durations
-            .get_or_create(&service_labels(service))
-            .observe(seconds);
-        let unavailable = matches!(
-            reply,
-            ExchangeReply::Refused(refusal) if refusal.kind == RefusalKind::KeyUnavailable
-        );
-        if unavailable {
+        if outcome == SERVED {
+            self.durations
+                .get_or_create(&service_labels(service))
+                .observe(seconds(took_ms));
+        }
+    }
+
+    /// Counts time during which keys of a service could not be served, in milliseconds.
+    pub fn note_unavailable(&self, service: &ServiceKey, millis: u64) {
+        if millis > 0 {
             self.unavailable
                 .get_or_create(&service_labels(service))
-                .inc_by(seconds);
+                .inc_by(seconds(millis));
         }
     }
 
     /// Writes all counters as text.
     #[must_use]
     pub fn encode(&self, lease_left_ms: u64, revision: u64, units: usize) -> String {
-        #[expect(clippy::cast_precision_loss, reason = "a lease's length fits 53 bits")]
-        self.lease_left
-            .set(lease_left_ms as f64 / MILLIS_PER_SECOND);
+        self.lease_left.set(seconds(lease_left_ms));
         self.revision
             .set(i64::try_from(revision).unwrap_or(i64::MAX));
         self.units.set(i64::try_from(units).unwrap_or(i64::MAX));
@@ -164,6 +157,15 @@
     }
 }
 
+/// Returns milliseconds as seconds.
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "milliseconds of a date fit 53 bits"
+)]
+fn seconds(millis: u64) -> f64 {
+    millis as f64 / MILLIS_PER_SECOND
+}
+
 /// Labels of a service.
 fn service_labels(service: &ServiceKey) -> ServiceLabels {
     ServiceLabels {
--- a/crates/agent/tests/test_whole.rs
+++ b/crates/agent/tests/test_whole.rs
@@ -1,5 +1,11 @@
 //! Tests that an answer that is cut short is an error.
 
+#![expect(
+    clippy::unwrap_used,
+    clippy::missing_panics_doc,
+    reason = "helpers of tests may panic"
+)]
+
 use actix_http::Method;
 use actix_http::header::HeaderMap;
 use actix_rt::net::TcpStream;
--- a/crates/types/src/status.rs
+++ b/crates/types/src/status.rs
@@ -27,10 +27,10 @@
 /// Counter of finished requests by `workspace`, `service` and `outcome`: `served` or a refusal's
 /// name. Counted at the gateway, which the caller sees.
 pub const REQUESTS_METRIC: &str = "jy_requests";
-/// Histogram of request durations in seconds by `workspace` and `service`.
+/// Histogram of the durations of answered requests in seconds by `workspace` and `service`.
 pub const DURATION_METRIC: &str = "jy_request_duration_seconds";
-/// Counter of seconds during which keys of an owned unit were unavailable, by `workspace` and
-/// `service`.
+/// Counter of seconds during which some keys that callers asked for could not be served, by
+/// `workspace` and `service`, as one gateway saw it.
 pub const UNAVAILABLE_METRIC: &str = "jy_key_unavailable_seconds";
 /// Gauge of the process start, in seconds since the Unix epoch: a change tells a restart.
 pub const START_METRIC: &str = "jy_process_start_time_seconds";
