--- a/crates/gate/src/api.rs
+++ b/crates/gate/src/api.rs
@@ -50,7 +50,7 @@
         Self {
             keyed: true,
             slots: 6,
-            queue_per_slot: 16,
+            queue_per_slot: 32,
             window_ms: 600_000,
             window_entries: 65_536,
             window_bytes: 8 * 1024 * 1024,
--- a/crates/gate/tests/common/mod.rs
+++ b/crates/gate/tests/common/mod.rs
@@ -80,6 +80,7 @@
     GateSettings {
         slots: 2,
         ramp_start: 2,
+        queue_per_slot: 16,
         ..GateSettings::default()
     }
 }
