control: even out loads only when they are known

Reports sent before an owner had units counted as reports of its units, so that unreported slices weighed nothing. Ruled out: the noise of reports (three deviations are 1.8 % at this rate) and late joins (all 460 agents were live before the first page). Change: loads are evened out once 95 % of the slices have two samples; a slice without one counts as an average one.

--- a/crates/control/src/loads.rs
+++ b/crates/control/src/loads.rs
@@ -23,6 +23,12 @@
 /// Samples of a unit left out after its owner changed: they cover only a part of the time.
 const SKIPPED_SAMPLES: u8 = 1;
 
+/// Samples of a slice that are needed before its load counts.
+const NEEDED_SAMPLES: u8 = 2;
+
+/// Share of slices whose load must count before loads are evened out.
+const SAMPLED_SHARE: f64 = 0.95;
+
 /// Reports of every owner that are needed before loads count.
 const NEEDED_REPORTS: u32 = 3;
 
@@ -73,6 +79,7 @@
     slices: Vec<UnitLoad>,
     keys: BTreeMap<KeyHash, HotKey>,
     reports: BTreeMap<AgentId, (u32, Millis)>,
+    mean_rate: f32,
 }
 
 impl Default for ServiceLoads {
@@ -81,15 +88,37 @@
             slices: vec![UnitLoad::default(); SLICES as usize],
             keys: BTreeMap::new(),
             reports: BTreeMap::new(),
+            mean_rate: 0.0,
         }
     }
 }
 
 impl ServiceLoads {
-    /// Returns the smoothed requests a second of a slice, pinned keys not counted.
+    /// Returns the smoothed requests a second of a slice, pinned keys not counted. A slice that
+    /// nobody has reported yet counts as an average one.
     #[must_use]
     pub fn slice_rate(&self, slice: usize) -> f32 {
-        self.slices.get(slice).map_or(0.0, |load| load.rate)
+        match self.slices.get(slice) {
+            Some(load) if load.samples > 0 => load.rate,
+            _ => self.mean_rate,
+        }
+    }
+
+    /// Whether nearly all slices have been reported often enough.
+    #[must_use]
+    pub fn is_sampled(&self) -> bool {
+        let known = |load: &&UnitLoad| load.samples >= NEEDED_SAMPLES;
+        let known = self.slices.iter().filter(known).count();
+        known as f64 >= self.slices.len() as f64 * SAMPLED_SHARE
+    }
+
+    /// Works out the mean of the slices that have been reported.
+    fn average(&mut self) {
+        let known = self.slices.iter().filter(|load| load.samples > 0);
+        let (count, sum) = known.fold((0_u32, 0.0_f64), |(count, sum), load| {
+            (count + 1, sum + f64::from(load.rate))
+        });
+        self.mean_rate = (sum / f64::from(count.max(1))) as f32;
     }
 
     /// Returns the smoothed requests a second of a key; zero if it is not hot.
@@ -177,6 +206,7 @@
             if view.pages.contains_key(&service) {
                 let loads = self.services.entry(service.clone()).or_default();
                 take_slices(loads, now, view, &service, &reports);
+                loads.average();
                 take_keys(loads, now, view, &service, &reports);
             }
         }
--- a/crates/control/src/services.rs
+++ b/crates/control/src/services.rs
@@ -53,6 +53,10 @@
 /// Time from one step to the next, in milliseconds.
 const RAMP_STEP_MS: u64 = 2_000;
 
+/// Slices without a reported load hold up the others no longer than this in a term, in
+/// milliseconds.
+const SAMPLE_TIMEOUT_MS: u64 = 60_000;
+
 /// Time over which loads are smoothed, in seconds: requests of that time stand behind them.
 const SMOOTHING_S: f64 = 7.0;
 
@@ -257,6 +261,7 @@
             .endpoints()
             .filter(|(_, entry)| entry.units > 0)
             .all(|(_, entry)| loads.is_measured(now, &entry.id, since));
+        let measured = measured && (loads.is_sampled() || now.since(since) > SAMPLE_TIMEOUT_MS);
         if !measured {
             return;
         }
