--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -4,12 +4,15 @@
 
 use anyhow::Result;
 use jy_bench::config_race;
+use jy_bench::cost;
 use jy_bench::demo;
 use jy_bench::lease;
 use jy_bench::lease_cost;
 use jy_bench::lease_faults;
 use jy_bench::lease_search;
 use jy_bench::lease_traces;
+use jy_bench::once;
+use jy_bench::path;
 use jy_bench::placement;
 use jy_bench::policy;
 use jy_bench::report;
@@ -39,6 +42,11 @@
         help: "random schedules of the lease protocol, and each rule broken on purpose",
         run: lease::check,
     },
+    BenchCommand {
+        name: "once",
+        help: "random schedules of repeats, moves and losses: double runs, false refusals",
+        run: once::run,
+    },
     BenchCommand {
         name: "policy",
         help: "tail, overload, cold start and retries in virtual time, beside a baseline",
@@ -74,6 +82,16 @@
         help: "imbalance, churn and settling of the placement in a fake fleet; sizes as arguments",
         run: placement::run,
     },
+    BenchCommand {
+        name: "path",
+        help: "latency and processor time of a request: direct, same agent, across agents",
+        run: path::run,
+    },
+    BenchCommand {
+        name: "cost",
+        help: "processor time, memory, bytes and store calls of control, by fleet size",
+        run: cost::run,
+    },
 ];
 
 fn main() -> ExitCode {
