agent: one guard for callers that are gone; empty ids count as absent

Cause: gate and gateway had the same guard twice, the wall clock was told twice, and an empty Idempotency-Key would have been taken for the mark that hand-overs use for a gap of memory. Ruled out: refusing empty headers; callers' libraries send them for unset values. Measured: test new_takes_empty_ids_for_absent fails before (key is some) and passes after. Conclusion: no other change of behaviour.

--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -93,7 +93,8 @@
             .path_and_query()
             .map_or("/", |path| path.as_str());
         let (workspace, service, path) = read_target(headers, target)?;
-        let text = |name: &str| header(headers, name).map(Name::from);
+        let filled = |name: &str| header(headers, name).filter(|text| !text.is_empty());
+        let text = |name: &str| filled(name).map(Name::from);
         let request_id =
             text(REQUEST_ID_HEADER).unwrap_or_else(|| uuid::Uuid::now_v7().to_string().into());
         Ok(Self {
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -48,6 +48,7 @@
 use crate::exchange::RequestExchange;
 use crate::exchange::WholeAnswer;
 use crate::grants::GrantKeeper;
+use crate::guard::CallerGuard;
 use crate::http::header;
 use crate::load::LoadMeter;
 use crate::send;
@@ -177,7 +178,8 @@
             task: None,
         };
         self.jobs.borrow_mut().insert(ticket, job);
-        let guard = CallerGuard::new(self, ticket);
+        let service = Rc::clone(self);
+        let guard = CallerGuard::new(move || service.caller_gone(ticket));
         self.step(GateEvent::Arrive(arrival));
         let reply = receiver.await;
         guard.disarm();
@@ -298,6 +300,14 @@
         self.forget_abandoned(ticket);
     }
 
+    /// Takes note, outside of any step, that a caller no longer waits.
+    fn caller_gone(self: Rc<Self>, ticket: u64) {
+        actix_rt::spawn(async move {
+            self.step(GateEvent::CallerGone { ticket });
+            self.forget_abandoned(ticket);
+        });
+    }
+
     /// Drops a request whose caller no longer waits, unless it is still at the backend server.
     fn forget_abandoned(&self, ticket: u64) {
         let mut jobs = self.jobs.borrow_mut();
@@ -392,8 +402,6 @@
     /// Takes the end of the agent's lease.
     pub fn on_lease(self: &Rc<Self>, until: Millis) {
         if self.lease_until.replace(until) != until {
-            let wall = clock::wall_now();
-            self.step(GateEvent::Clock { wall });
             self.step(GateEvent::Lease { until });
         }
     }
@@ -427,43 +435,6 @@
     }
 }
 
-/// Tells the gate that a caller no longer waits, unless it was answered.
-struct CallerGuard {
-    gate: Rc<GateService>,
-    ticket: u64,
-    armed: bool,
-}
-
-impl CallerGuard {
-    /// Guards one request.
-    fn new(gate: &Rc<GateService>, ticket: u64) -> Self {
-        Self {
-            gate: Rc::clone(gate),
-            ticket,
-            armed: true,
-        }
-    }
-
-    /// The request was answered.
-    fn disarm(mut self) {
-        self.armed = false;
-    }
-}
-
-impl Drop for CallerGuard {
-    fn drop(&mut self) {
-        if !self.armed {
-            return;
-        }
-        let gate = Rc::clone(&self.gate);
-        let ticket = self.ticket;
-        actix_rt::spawn(async move {
-            gate.step(GateEvent::CallerGone { ticket });
-            gate.forget_abandoned(ticket);
-        });
-    }
-}
-
 /// Finds the configuration of a service.
 ///
 /// # Errors
--- a/crates/agent/src/gateway.rs
+++ b/crates/agent/src/gateway.rs
@@ -40,6 +40,7 @@
 use crate::gate::find_service;
 use crate::gate::is_idempotent;
 use crate::gate::read_key;
+use crate::guard::CallerGuard;
 use crate::http::header;
 use crate::metrics::AgentMetrics;
 use crate::outage::OutageMeter;
@@ -167,7 +168,8 @@
             attempts: BTreeMap::new(),
         };
         self.calls.borrow_mut().insert(ticket, call);
-        let guard = CallerGuard::new(self, ticket);
+        let service = Rc::clone(self);
+        let guard = CallerGuard::new(move || service.caller_gone(ticket));
         self.step(RouteEvent::Arrive(request));
         let reply = receiver.await;
         guard.disarm();
@@ -365,6 +367,14 @@
         same.next().cloned()
     }
 
+    /// Takes note, outside of any step, that a caller no longer waits.
+    fn caller_gone(self: Rc<Self>, ticket: u64) {
+        actix_rt::spawn(async move {
+            self.step(RouteEvent::CallerGone { ticket });
+            self.calls.borrow_mut().remove(&ticket);
+        });
+    }
+
     /// Gives the caller its reply.
     fn reply(&self, ticket: u64, reply: ExchangeReply) {
         let call = self.calls.borrow_mut().remove(&ticket);
@@ -375,43 +385,6 @@
     }
 }
 
-/// Tells routing that a caller no longer waits, unless it was answered.
-struct CallerGuard {
-    gateway: Rc<GatewayService>,
-    ticket: u64,
-    armed: bool,
-}
-
-impl CallerGuard {
-    /// Guards one request.
-    fn new(gateway: &Rc<GatewayService>, ticket: u64) -> Self {
-        Self {
-            gateway: Rc::clone(gateway),
-            ticket,
-            armed: true,
-        }
-    }
-
-    /// The request was answered.
-    fn disarm(mut self) {
-        self.armed = false;
-    }
-}
-
-impl Drop for CallerGuard {
-    fn drop(&mut self) {
-        if !self.armed {
-            return;
-        }
-        let gateway = Rc::clone(&self.gateway);
-        let ticket = self.ticket;
-        actix_rt::spawn(async move {
-            gateway.step(RouteEvent::CallerGone { ticket });
-            gateway.calls.borrow_mut().remove(&ticket);
-        });
-    }
-}
-
 /// Whether an attempt ended because nobody served its key at that moment.
 const fn is_outage(end: &AttemptEnd) -> bool {
     match end {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod gate;
 pub mod gateway;
 pub mod grants;
+pub mod guard;
 pub mod http;
 pub mod identity;
 pub mod lease;
--- a/crates/agent/tests/test_exchange.rs
+++ b/crates/agent/tests/test_exchange.rs
@@ -82,6 +82,20 @@
     Ok(())
 }
 
+#[gtest]
+fn new_takes_empty_ids_for_absent() -> Result<()> {
+    let headers = [
+        ("jy-key", ""),
+        ("idempotency-key", ""),
+        ("jy-request-id", ""),
+    ];
+    let exchange = read("/w/a/b/", &headers).ok().or_fail()?;
+    expect_that!(exchange.key, none());
+    expect_that!(exchange.idempotency_key, none());
+    expect_that!(exchange.request_id.len(), gt(0));
+    Ok(())
+}
+
 #[gtest]
 fn digest_differs_by_body() -> Result<()> {
     let exchange = read("/w/a/b/c", &[]).ok().or_fail()?;
