testutils: one folder of traces for the areas' tests

Cause: the tests of gate and route replayed their traces by the same 70 lines each. Ruled out: one test of all areas; each area's rules that may be broken are its own. Change: TraceFolder reads, replays, compares and breaks a rule; the lists of traces, rules and harms stand as they were. Conclusion: fewer lines, no check eased.

--- a/crates/gate/tests/test_traces.rs
+++ b/crates/gate/tests/test_traces.rs
@@ -1,13 +1,8 @@
 //! Recorded traces against their stated outcomes, and with rules broken on purpose.
 
-use std::fs;
-use std::path::Path;
-use std::path::PathBuf;
-
 use googletest::prelude::*;
 use jy_gate::replay::replay;
-use jy_kernel::trace::FigureBound;
-use jy_kernel::trace::compare;
+use jy_testutils::traces::TraceFolder;
 
 /// Traces, with the rules whose breach their outcome must tell.
 const TRACES: &[(&str, &[&str])] = &[
@@ -23,37 +18,28 @@
     ("window-full", &["no_window"]),
 ];
 
-/// The folder of this area's traces.
-fn folder() -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../traces/gate")
-}
+/// Figures that a broken rule must make worse than zero.
+const HARMS: [&str; 8] = [
+    "released_busy",
+    "double_runs",
+    "false_not_run",
+    "foreign_answers",
+    "dispatched_past_lease",
+    "run_past_lease",
+    "overlapping_runs",
+    "overruns",
+];
 
-/// Replays a trace and returns what differs from its outcome.
-fn differences(name: &str, broken: Option<&str>) -> Vec<String> {
-    let read = |file: String| fs::read_to_string(folder().join(file)).unwrap_or_default();
-    let mut text = read(format!("{name}.jsonl"));
-    if let Some(rule) = broken {
-        let setting = format!("\"settings\":{{\"broken\":\"{rule}\",");
-        text = text.replacen("\"settings\":{", &setting, 1);
-    }
-    let outcome = read(format!("{name}.outcome.json"));
-    let bounds: Vec<FigureBound> = serde_json::from_str(&outcome).unwrap_or_default();
-    if bounds.is_empty() {
-        return vec![format!("{name} has no outcome")];
-    }
-    match replay(name, &text) {
-        Ok(figures) => compare(&figures, &bounds)
-            .iter()
-            .map(|found| format!("{name} {broken:?}: {found:?}"))
-            .collect(),
-        Err(error) => vec![error.to_string()],
-    }
+/// The traces of this area.
+fn folder() -> TraceFolder {
+    TraceFolder::new("gate", replay)
 }
 
 #[gtest]
 fn replay_meets_outcome() {
     for (name, _) in TRACES {
-        expect_that!(differences(name, None), is_empty());
+        let found = folder().differences(name, |text| text);
+        expect_that!(found, is_empty(), "{name}");
     }
 }
 
@@ -61,38 +47,16 @@
 fn replay_tells_broken_rule() {
     for (name, rules) in TRACES {
         for rule in *rules {
-            let found = differences(name, Some(rule));
-            let is_harm = |line: &String| HARMS.iter().any(|harm| line.contains(harm));
-            expect_that!(
-                found.iter().any(is_harm),
-                eq(true),
-                "{name} {rule}: {found:?}"
-            );
+            let found = folder().broken_figures(name, rule);
+            let is_harm = |figure: &String| HARMS.contains(&figure.as_str());
+            expect_true!(found.iter().any(is_harm), "{name} {rule}: {found:?}");
         }
     }
 }
 
 #[gtest]
 fn folder_holds_listed_traces_only() {
-    let entries = fs::read_dir(folder()).into_iter().flatten().flatten();
-    let names = entries.map(|entry| entry.file_name().to_string_lossy().into_owned());
-    let mut found: Vec<String> = names
-        .filter_map(|name| name.strip_suffix(".jsonl").map(str::to_owned))
-        .collect();
-    found.sort();
     let mut listed: Vec<String> = TRACES.iter().map(|(name, _)| (*name).to_owned()).collect();
     listed.sort();
-    expect_that!(found, eq(&listed));
+    expect_that!(folder().names(), eq(&listed));
 }
-
-/// Figures that a broken rule must make worse than zero.
-const HARMS: [&str; 8] = [
-    "released_busy",
-    "double_runs",
-    "false_not_run",
-    "foreign_answers",
-    "dispatched_past_lease",
-    "run_past_lease",
-    "overlapping_runs",
-    "overruns",
-];
