agent: the controller goes on reading the store

Cause: a joining agent reads the store and may be elected; once live it stopped reading if two others of its zone came first by name, was no longer eligible, and its store lease lapsed: a second term within seconds of a fleet's start, with nobody to place units in between. Ruled out: a race of candidates: the loser waits 1.6 s after it sees a new term. Change: whoever holds the term is among the agents that read the store. Conclusion: the role moves only when its holder is lost or leaves.

--- a/crates/agent/src/feed.rs
+++ b/crates/agent/src/feed.rs
@@ -168,7 +168,7 @@
     let Some(own) = view.member(id) else {
         return true;
     };
-    if own.state == MemberState::Joining || own.state.is_over() {
+    if own.state == MemberState::Joining || own.state.is_over() || holds_term(view, id) {
         return true;
     }
     let same_zone = |member: &&MemberRecord| {
@@ -180,6 +180,13 @@
         .any(|member| member.id == *id)
 }
 
+/// Whether an agent holds the controller's term, for which it needs the newest records.
+fn holds_term(view: &FleetView, id: &AgentId) -> bool {
+    view.term
+        .as_ref()
+        .is_some_and(|term| term.value.holder == *id)
+}
+
 /// Reads the store while this agent is to do so. Never returns.
 pub async fn watch_store(
     feed: Rc<FeedService>,
--- /dev/null
+++ b/crates/agent/tests/test_feed.rs
@@ -0,0 +1,86 @@
+//! Which agents read the store.
+
+use std::net::SocketAddr;
+
+use googletest::prelude::*;
+use jy_agent::feed::is_watcher;
+use jy_feed::view::FleetView;
+use jy_types::assign::TermRecord;
+use jy_types::member::AgentId;
+use jy_types::member::MemberRecord;
+use jy_types::member::MemberState;
+use jy_types::member::MonitorSet;
+use jy_types::member::Place;
+use jy_types::name::Name;
+use jy_types::record::Record;
+use jy_types::record::TERM_KEY;
+use jy_types::record::member_key;
+use serde::Serialize;
+
+/// Makes a record.
+fn record(key: Name, revision: u64, value: &impl Serialize) -> Record {
+    Record {
+        key,
+        revision,
+        value: serde_json::to_string(value).ok().map(Into::into),
+    }
+}
+
+/// A member of the only availability zone.
+fn member(name: &str, state: MemberState) -> MemberRecord {
+    let addr = SocketAddr::from(([127, 0, 0, 1], 1));
+    MemberRecord {
+        id: AgentId::new(name, 1),
+        state,
+        place: Place {
+            region: "r".into(),
+            zone: "z".into(),
+            rack: name.into(),
+        },
+        rpc_addr: addr,
+        forward_addr: addr,
+        operator_addr: addr,
+        endpoint: None,
+        monitors: MonitorSet::default(),
+        next_monitors: None,
+        term: 0,
+        replaces: Vec::new(),
+    }
+}
+
+/// A view of live agents and the controller.
+fn view(names: &[&str], controller: &str) -> FleetView {
+    let mut records = Vec::new();
+    for (revision, name) in (1..).zip(names) {
+        let member = member(name, MemberState::Live);
+        records.push(record(member_key(&member.id), revision, &member));
+    }
+    let term = TermRecord {
+        term: 1,
+        holder: AgentId::new(controller, 1),
+    };
+    records.push(record(TERM_KEY.into(), 90, &term));
+    FleetView::new().with_records(&records, 90).0
+}
+
+#[gtest]
+fn is_watcher_two_of_a_zone() {
+    let view = view(&["a", "b", "c", "d"], "a");
+    let watches = |name: &str| is_watcher(&view, &AgentId::new(name, 1));
+    expect_that!(
+        ["a", "b", "c", "d"].map(watches),
+        eq([true, true, false, false])
+    );
+}
+
+#[gtest]
+fn is_watcher_controller_too() {
+    let view = view(&["a", "b", "c", "d"], "d");
+    expect_true!(is_watcher(&view, &AgentId::new("d", 1)));
+    expect_false!(is_watcher(&view, &AgentId::new("c", 1)));
+}
+
+#[gtest]
+fn is_watcher_unknown_agent() {
+    expect_true!(is_watcher(&view(&["a", "b"], "a"), &AgentId::new("new", 1)));
+}
