control, agent: a release names the grant it ends, and is repeated until it is done

Cause: a notice of release carried no fence, so that one delayed across several moves of a unit would end a newer grant; and an agent gave up after 40 notices, so that a store outage of more than 10 s in the middle of a move left its units with nobody to serve them. A controller that stopped never looked at the holder's key again. Ruled out: sequence numbers of their own; fences grow over all grants and name one each. Change: each released unit carries the fence of its grant; notices go on, at most 2 s apart, until the records show the move ended, with the window handed to a new next owner; the key is read after a stop.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -4,7 +4,6 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use jy_control::api::ControlAction;
@@ -12,13 +11,13 @@
 use jy_control::api::ControlSettings;
 use jy_control::api::WriteEnd;
 use jy_control::core::ControlState;
-use jy_feed::view::FleetView;
 use jy_feed::view::ServiceKey;
 use jy_kernel::clock;
 use jy_kernel::state::StateCell;
 use jy_store::client::StoreClient;
 use jy_store::client::SwapEnd;
 use jy_store::protocol::SwapCall;
+use jy_types::assign::Fence;
 use jy_types::key::Unit;
 use jy_types::member::AgentId;
 use jy_types::name::Name;
@@ -27,6 +26,7 @@
 use jy_types::peer::RELEASE_METHOD;
 use jy_types::peer::REPORT_METHOD;
 use jy_types::peer::ReleaseNotice;
+use jy_types::peer::ReleasedUnit;
 use jy_types::peer::VOTE_METHOD;
 use jy_types::peer::VoteNotice;
 use jy_types::peer::WindowEntry;
@@ -45,11 +45,11 @@
 /// Name of this service.
 pub const SERVICE: &str = "control";
 
-/// Wait between two notices of the same release, in milliseconds.
+/// First wait between two notices of the same release, in milliseconds; it doubles.
 const RELEASE_WAIT_MS: u64 = 250;
 
-/// Notices of one release before it is left to the next view.
-const RELEASE_TRIES: u32 = 40;
+/// Longest wait between two notices of the same release, in milliseconds.
+const RELEASE_WAIT_LIMIT_MS: u64 = 2_000;
 
 /// The controller's decision and the way to the agent that holds the role.
 pub struct ControlService {
@@ -189,7 +189,7 @@
     }
 
     /// Hands the window of idle units to their next owners and tells the controller, until the
-    /// records say that they are no longer this agent's.
+    /// records say that they are no longer this agent's: also through an outage of the store.
     pub fn release(
         self: &Rc<Self>,
         service: ServiceKey,
@@ -198,46 +198,71 @@
     ) {
         let control = Rc::clone(self);
         actix_rt::spawn(async move {
-            control.hand_over(&service, &units, &entries).await;
-            for _ in 0..RELEASE_TRIES {
+            let mut handed = BTreeMap::new();
+            let mut wait_ms = RELEASE_WAIT_MS;
+            loop {
                 let left = control.units_left(&service, &units);
                 if left.is_empty() {
                     return;
                 }
-                let notice = ReleaseNotice {
-                    from: control.id.clone(),
-                    workspace: service.0.clone(),
-                    service: service.1.clone(),
-                    units: left,
-                };
-                control.send(RELEASE_METHOD, notice, ControlEvent::Released);
-                sleep(Duration::from_millis(RELEASE_WAIT_MS)).await;
+                control
+                    .hand_over(&service, &left, &entries, &mut handed)
+                    .await;
+                control.send_release(&service, left);
+                sleep(Duration::from_millis(wait_ms)).await;
+                wait_ms = (wait_ms * 2).min(RELEASE_WAIT_LIMIT_MS);
             }
         });
     }
 
+    /// Tells the controller which units this agent no longer serves.
+    fn send_release(self: &Rc<Self>, service: &ServiceKey, left: Vec<LeavingUnit>) {
+        let released = |unit: LeavingUnit| ReleasedUnit {
+            unit: unit.unit,
+            fence: unit.fence,
+        };
+        let notice = ReleaseNotice {
+            from: self.id.clone(),
+            workspace: service.0.clone(),
+            service: service.1.clone(),
+            units: left.into_iter().map(released).collect(),
+        };
+        self.send(RELEASE_METHOD, notice, ControlEvent::Released);
+    }
+
     /// Returns the units that the records still give to this agent with a next owner.
-    fn units_left(&self, service: &ServiceKey, units: &[Unit]) -> Vec<Unit> {
+    fn units_left(&self, service: &ServiceKey, units: &[Unit]) -> Vec<LeavingUnit> {
         let view = self.feed.view();
-        let mine = |unit: &&Unit| {
-            view.grant(service, **unit)
-                .is_some_and(|grant| grant.owner.as_ref() == Some(&self.id) && grant.next.is_some())
+        let leaving = |unit: &Unit| {
+            let grant = view.grant(service, *unit)?;
+            let next = grant.next?;
+            (grant.owner.as_ref() == Some(&self.id)).then_some(LeavingUnit {
+                unit: *unit,
+                fence: grant.fence,
+                next,
+            })
         };
-        units.iter().filter(mine).copied().collect()
+        units.iter().filter_map(leaving).collect()
     }
 
-    /// Sends the window of units to their next owners. A window that does not arrive makes the
-    /// next owner treat the unit as after a loss.
-    async fn hand_over(&self, service: &ServiceKey, units: &[Unit], entries: &[WindowEntry]) {
+    /// Sends the window of units to those next owners that do not have it yet. A window that does
+    /// not arrive makes the next owner treat the unit as after a loss.
+    async fn hand_over(
+        &self,
+        service: &ServiceKey,
+        left: &[LeavingUnit],
+        entries: &[WindowEntry],
+        handed: &mut BTreeMap<Unit, AgentId>,
+    ) {
         let view = self.feed.view();
-        for (next, units) in by_next(&view, service, units) {
+        for (next, units) in by_next(left, handed) {
             let Some(address) = view.member(&next).map(|member| member.rpc_addr) else {
                 continue;
             };
             let of_units = |entry: &&WindowEntry| units.contains(&entry.unit);
             let handover = WindowHandover {
                 from: self.id.clone(),
-                to: next,
+                to: next.clone(),
                 workspace: service.0.clone(),
                 service: service.1.clone(),
                 entries: entries.iter().filter(of_units).cloned().collect(),
@@ -246,26 +271,32 @@
             let sent = self
                 .peers
                 .call::<_, bool>(address, HANDOVER_METHOD, &handover);
-            if let Err(error) = sent.await {
-                log::warn!(
+            match sent.await {
+                Ok(_) => handed.extend(handover.units.iter().map(|unit| (*unit, next.clone()))),
+                Err(error) => log::warn!(
                     "window of {} units not handed over: {error}",
                     handover.units.len()
-                );
+                ),
             }
         }
     }
 }
 
-/// Sorts units by their next owner.
-fn by_next(
-    view: &Arc<FleetView>,
-    service: &ServiceKey,
-    units: &[Unit],
-) -> BTreeMap<AgentId, Vec<Unit>> {
+/// A unit that this agent owns by the records and that has a next owner.
+#[derive(Clone, Debug)]
+struct LeavingUnit {
+    unit: Unit,
+    fence: Fence,
+    next: AgentId,
+}
+
+/// Sorts units whose next owner does not have their window by that owner.
+fn by_next(left: &[LeavingUnit], handed: &BTreeMap<Unit, AgentId>) -> BTreeMap<AgentId, Vec<Unit>> {
     let mut sorted: BTreeMap<AgentId, Vec<Unit>> = BTreeMap::new();
-    for unit in units {
-        if let Some(next) = view.grant(service, *unit).and_then(|grant| grant.next) {
-            sorted.entry(next).or_default().push(*unit);
+    for leaving in left {
+        if handed.get(&leaving.unit) != Some(&leaving.next) {
+            let units = sorted.entry(leaving.next.clone()).or_default();
+            units.push(leaving.unit);
         }
     }
     sorted
--- a/crates/agent/src/election.rs
+++ b/crates/agent/src/election.rs
@@ -181,10 +181,18 @@
             ElectionAction::Stop => {
                 log::info!("controller: this agent stops");
                 self.tell(None);
+                actix_rt::spawn(async move { election.look_again().await });
             }
         }
     }
 
+    /// Looks at the controller's key once more: the watch tells changes only.
+    async fn look_again(self: Rc<Self>) {
+        while self.eligible.get() && self.read_alive(None).await.is_err() {
+            sleep(Duration::from_millis(RETRY_WAIT_MS)).await;
+        }
+    }
+
     /// Tells the listener of the role.
     fn tell(&self, term: Option<u64>) {
         let listener = self.listener.borrow().clone();
--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -204,8 +204,9 @@
         self.dirty = true;
         let service = (notice.workspace, notice.service);
         let releases = self.releases.entry(service).or_default();
-        for unit in notice.units {
-            releases.insert(unit, notice.from.clone());
+        for released in notice.units {
+            let newest = releases.entry(released.unit).or_default();
+            *newest = released.fence.max(*newest);
         }
     }
 
--- a/crates/control/src/fake_peers.rs
+++ b/crates/control/src/fake_peers.rs
@@ -8,6 +8,7 @@
 use jy_types::member::MemberState;
 use jy_types::peer::AgentReport;
 use jy_types::peer::ReleaseNotice;
+use jy_types::peer::ReleasedUnit;
 use jy_types::peer::VoteNotice;
 use jy_types::time::Millis;
 use rand::Rng;
@@ -136,14 +137,16 @@
             .filter(|(_, at)| **at <= now)
             .map(|(unit, _)| unit.clone())
             .collect();
-        let mut notices: BTreeMap<ServiceKey, Vec<Unit>> = BTreeMap::new();
+        let mut notices: BTreeMap<ServiceKey, Vec<ReleasedUnit>> = BTreeMap::new();
         for (service, unit) in due {
             let id = &self.agents[number].id;
             match self.checks.holder(&service, unit) {
                 Some((owner, grant)) if owner == *id && grant.next.is_some() => {
-                    let released = (service.clone(), unit, grant.fence);
+                    let fence = grant.fence;
+                    let released = (service.clone(), unit, fence);
                     self.checks.released.insert(released);
-                    notices.entry(service).or_default().push(unit);
+                    let notice = ReleasedUnit { unit, fence };
+                    notices.entry(service).or_default().push(notice);
                 }
                 _ => {
                     self.agents[number].moving.remove(&(service, unit));
--- a/crates/control/src/grants.rs
+++ b/crates/control/src/grants.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use jy_types::assign::Fence;
 use jy_types::key::Unit;
-use jy_types::member::AgentId;
 
 use crate::owners::OwnerStanding;
 use crate::tables::ServiceTable;
@@ -26,8 +26,8 @@
     pub keep_drained: bool,
 }
 
-/// Owners that released a unit.
-pub type ReleaseMap = BTreeMap<Unit, AgentId>;
+/// Fences of the grants under which owners released units.
+pub type ReleaseMap = BTreeMap<Unit, Fence>;
 
 /// Gives an owner to every unit that may have one now, and moves units off draining owners.
 pub fn place_units(table: &mut ServiceTable, releases: &ReleaseMap, rules: GrantRules) {
@@ -59,7 +59,7 @@
     let Some(owner) = entry.owner else {
         return;
     };
-    let released = releases.get(&entry.unit) == Some(&table.owners.get(owner).id);
+    let released = releases.get(&entry.unit) == Some(&entry.fence);
     let draining = table.owners.get(owner).standing == OwnerStanding::Draining;
     match entry.next {
         Some(_) if released => grant(table, index, entry, None, rules),
--- a/crates/control/src/services.rs
+++ b/crates/control/src/services.rs
@@ -201,10 +201,10 @@
             .units
             .iter()
             .filter(|entry| entry.next.is_some())
-            .filter_map(|entry| Some((entry.unit, &table.owners.get(entry.owner?).id)))
+            .map(|entry| (entry.unit, entry.fence))
             .collect();
         self.releases
-            .retain(|unit, from| fitting.get(unit) == Some(&&*from));
+            .retain(|unit, fence| fitting.get(unit) == Some(fence));
     }
 
     /// Tells what the passes over the units may do now.
--- a/crates/control/tests/test_core.rs
+++ b/crates/control/tests/test_core.rs
@@ -14,6 +14,7 @@
 use jy_control::api::ControlSettings;
 use jy_control::api::WriteEnd;
 use jy_control::core::ControlState;
+use jy_types::assign::Fence;
 use jy_types::assign::PageRecord;
 use jy_types::key::PAGES;
 use jy_types::key::SliceId;
@@ -27,6 +28,7 @@
 use jy_types::name::Name;
 use jy_types::peer::AgentReport;
 use jy_types::peer::ReleaseNotice;
+use jy_types::peer::ReleasedUnit;
 use jy_types::record::Record;
 use jy_types::record::RecordBatch;
 use jy_types::record::member_key;
@@ -169,7 +171,10 @@
             let page: PageRecord = self.read(&page_key("w", "s", number)).unwrap();
             for (place, grant) in page.slices.iter().enumerate() {
                 if grant.next.is_some() {
-                    units.push(Unit::Slice(SliceId(number * 1024 + place as u32)));
+                    units.push(ReleasedUnit {
+                        unit: Unit::Slice(SliceId(number * 1024 + place as u32)),
+                        fence: grant.fence,
+                    });
                 }
             }
         }
@@ -275,3 +280,25 @@
     bench.run(15_000);
     expect_that!(bench.member("x").state, eq(MemberState::Live));
 }
+
+#[gtest]
+fn step_release_of_an_older_grant_ends_nothing() {
+    let mut bench = three();
+    bench.report("x", true);
+    bench.run(500);
+    let unit = Unit::Slice(SliceId(0));
+    let page: PageRecord = bench.read(&page_key("w", "s", 0)).unwrap();
+    let owner = page.owners[usize::from(page.slices[0].owner.unwrap())].clone();
+    let fence = Fence(page.slices[0].fence.0 - 1);
+    let notice = ReleaseNotice {
+        from: owner.clone(),
+        workspace: "w".into(),
+        service: "s".into(),
+        units: vec![ReleasedUnit { unit, fence }],
+    };
+    bench.send(ControlEvent::Released(notice));
+    bench.run(1_000);
+    let page: PageRecord = bench.read(&page_key("w", "s", 0)).unwrap();
+    let after = page.owners[usize::from(page.slices[0].owner.unwrap())].clone();
+    expect_that!(after, eq(&owner));
+}
--- a/crates/types/src/peer.rs
+++ b/crates/types/src/peer.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::assign::Fence;
 use crate::key::KeyHash;
 use crate::key::SliceId;
 use crate::key::Unit;
@@ -125,7 +126,16 @@
     /// Service name.
     pub service: Name,
     /// The units it no longer serves.
-    pub units: Vec<Unit>,
+    pub units: Vec<ReleasedUnit>,
+}
+
+/// A unit that its owner no longer serves under one grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReleasedUnit {
+    /// The unit.
+    pub unit: Unit,
+    /// The fence of the grant that ends: a notice that comes late ends no newer one.
+    pub fence: Fence,
 }
 
 /// The remembered outcome of a non-idempotent request.
