agent: notice callers who close their connection

Ruled out: a fault of the guards: the handler's future was never dropped. Change: half-closed connections count as closed. A caller that closes its sending side and still waits gets no answer; HTTP/1.1 clients do not do that. Measured: test serve_drops_work_of_callers_who_are_gone: before, not dropped within 30 s; after, dropped at once. Conclusion: cancelled hedges free their slots.

--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -140,6 +140,7 @@
         .keep_alive(Duration::from_millis(KEEP_ALIVE_MS))
         .client_request_timeout(Duration::from_millis(limits.head_timeout_ms))
         .tcp_nodelay(true)
+        .h1_allow_half_closed(false)
         .graceful_shutdown_signal(move || closing.clone().closed())
         .h1(fn_service(move |request: Request| {
             let answer = handler(request);
