--- a/crates/standins/src/backend_api.rs
+++ b/crates/standins/src/backend_api.rs
@@ -18,6 +18,7 @@
 use futures_util::stream;
 use jy_kernel::clock;
 use jy_types::name::Name;
+use jy_types::request::DEADLINE_HEADER;
 use jy_types::request::FENCE_HEADER;
 use jy_types::request::IDEMPOTENCY_HEADER;
 use jy_types::request::KEY_HEADER;
@@ -144,6 +145,10 @@
     async fn run(&self, mut request: Request) -> Answer {
         let body = http::read_body(&mut request).await?;
         let id = name(&request, REQUEST_ID_HEADER);
+        let left_ms = left_ms(&request);
+        if left_ms == Some(0) {
+            return Err(stopped(StatusCode::GATEWAY_TIMEOUT, "deadline passed"));
+        }
         let begun = self.begin(&request);
         let number = begun.map_err(|refusal| self.refuse_run(refusal))?;
         let mut guard = RunGuard::new(Rc::clone(&self.state), number);
@@ -151,10 +156,7 @@
         let query = request.uri().query().unwrap_or_default().to_owned();
         let asked = backend_run::parameter(&query, WORK_PARAMETER);
         let work_ms = self.state.borrow().work_ms(clock::now(), asked);
-        let timeout_ms = number_header(&request, TIMEOUT_HEADER);
-        let how = guard
-            .work(work_ms, timeout_ms, self.fallen.subscribe())
-            .await;
+        let how = guard.work(work_ms, left_ms, self.fallen.subscribe()).await;
         drop(guard);
         match how {
             RunEnd::Late => return Err(stopped(StatusCode::GATEWAY_TIMEOUT, "deadline passed")),
@@ -309,6 +311,15 @@
     http::header(request, header).map(Name::from)
 }
 
+/// Returns the time left for a request, in milliseconds: the time that it was sent with, or less if
+/// the point of the shared boot clock that it carries is nearer.
+fn left_ms(request: &Request) -> Option<u64> {
+    let timeout_ms = number_header(request, TIMEOUT_HEADER);
+    let deadline = number_header(request, DEADLINE_HEADER).map(Millis);
+    let to_deadline_ms = deadline.map(|deadline| deadline.since(clock::now()));
+    [timeout_ms, to_deadline_ms].into_iter().flatten().min()
+}
+
 /// Returns a header's number.
 fn number_header(request: &Request, header: &str) -> Option<u64> {
     http::header(request, header)?.parse().ok()
