types: a constructor for the record of a joining agent

Ruled out: a default for the whole record, which would make an agent without a name. Change: MemberRecord::new, Place::new, AgentAddrs; the eight places state what differs. Conclusion: no change of behaviour.

--- a/crates/agent/src/member.rs
+++ b/crates/agent/src/member.rs
@@ -8,11 +8,10 @@
 use jy_store::client::StoreClient;
 use jy_store::client::SwapEnd;
 use jy_store::protocol::SwapCall;
+use jy_types::member::AgentAddrs;
 use jy_types::member::AgentId;
 use jy_types::member::Endpoint;
 use jy_types::member::MemberRecord;
-use jy_types::member::MemberState;
-use jy_types::member::MonitorSet;
 use jy_types::record::member_key;
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -116,18 +115,15 @@
         let settings = &self.identity.settings;
         let listen = &settings.listen;
         let advertise = &settings.advertise;
+        let addrs = AgentAddrs {
+            rpc: advertise.peer_rpc.unwrap_or(listen.peer_rpc),
+            forward: advertise.peer_forward.unwrap_or(listen.peer_forward),
+            operator: listen.operator,
+        };
         MemberRecord {
-            id: self.identity.id.clone(),
-            state: MemberState::Joining,
-            place: settings.place.clone(),
-            rpc_addr: advertise.peer_rpc.unwrap_or(listen.peer_rpc),
-            forward_addr: advertise.peer_forward.unwrap_or(listen.peer_forward),
-            operator_addr: listen.operator,
             endpoint,
-            monitors: MonitorSet::default(),
-            next_monitors: None,
-            term: 0,
             replaces: self.replaced(),
+            ..MemberRecord::new(self.identity.id.clone(), settings.place.clone(), addrs)
         }
     }
 
--- a/crates/agent/tests/test_feed.rs
+++ b/crates/agent/tests/test_feed.rs
@@ -6,10 +6,10 @@
 use jy_agent::feed::is_watcher;
 use jy_feed::view::FleetView;
 use jy_types::assign::TermRecord;
+use jy_types::member::AgentAddrs;
 use jy_types::member::AgentId;
 use jy_types::member::MemberRecord;
 use jy_types::member::MemberState;
-use jy_types::member::MonitorSet;
 use jy_types::member::Place;
 use jy_types::name::Name;
 use jy_types::record::Record;
@@ -30,21 +30,12 @@
 fn member(name: &str, state: MemberState) -> MemberRecord {
     let addr = SocketAddr::from(([127, 0, 0, 1], 1));
     MemberRecord {
-        id: AgentId::new(name, 1),
         state,
-        place: Place {
-            region: "r".into(),
-            zone: "z".into(),
-            rack: name.into(),
-        },
-        rpc_addr: addr,
-        forward_addr: addr,
-        operator_addr: addr,
-        endpoint: None,
-        monitors: MonitorSet::default(),
-        next_monitors: None,
-        term: 0,
-        replaces: Vec::new(),
+        ..MemberRecord::new(
+            AgentId::new(name, 1),
+            Place::new("r", "z", name),
+            AgentAddrs::new(addr),
+        )
     }
 }
 
--- a/crates/agent/tests/test_own_record.rs
+++ b/crates/agent/tests/test_own_record.rs
@@ -3,10 +3,10 @@
 use googletest::prelude::*;
 use jy_agent::own_record::is_present;
 use jy_store::protocol::RecordsAnswer;
+use jy_types::member::AgentAddrs;
 use jy_types::member::AgentId;
 use jy_types::member::MemberRecord;
 use jy_types::member::MemberState;
-use jy_types::member::MonitorSet;
 use jy_types::member::Place;
 use jy_types::record::Record;
 use jy_types::record::member_key;
@@ -14,21 +14,8 @@
 fn member(id: &AgentId, state: MemberState) -> MemberRecord {
     let addr = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
     MemberRecord {
-        id: id.clone(),
         state,
-        place: Place {
-            region: "r".into(),
-            zone: "z".into(),
-            rack: "k".into(),
-        },
-        rpc_addr: addr,
-        forward_addr: addr,
-        operator_addr: addr,
-        endpoint: None,
-        monitors: MonitorSet::default(),
-        next_monitors: None,
-        term: 0,
-        replaces: Vec::new(),
+        ..MemberRecord::new(id.clone(), Place::new("r", "z", "k"), AgentAddrs::new(addr))
     }
 }
 
--- a/crates/control/src/fake_agents.rs
+++ b/crates/control/src/fake_agents.rs
@@ -4,11 +4,10 @@
 
 use jy_feed::view::ServiceKey;
 use jy_types::key::Unit;
+use jy_types::member::AgentAddrs;
 use jy_types::member::AgentId;
 use jy_types::member::Endpoint;
 use jy_types::member::MemberRecord;
-use jy_types::member::MemberState;
-use jy_types::member::MonitorSet;
 use jy_types::member::Place;
 use jy_types::name::Name;
 use jy_types::time::Millis;
@@ -180,26 +179,21 @@
         let addr = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
         let rack = number / (settings.zones * settings.regions).max(1) % settings.racks.max(1);
         MemberRecord {
-            id: self.id.clone(),
-            state: MemberState::Joining,
-            place: Place {
-                region: format!("r{}", self.zone / settings.zones.max(1)).into(),
-                zone: zone_name(self.zone),
-                rack: format!("z{}k{rack}", self.zone).into(),
-            },
-            rpc_addr: addr,
-            forward_addr: addr,
-            operator_addr: addr,
             endpoint: Some(Endpoint {
                 workspace: self.service.0.clone(),
                 service: self.service.1.clone(),
                 slots: 6,
                 checks_fence: true,
             }),
-            monitors: MonitorSet::default(),
-            next_monitors: None,
-            term: 0,
-            replaces: Vec::new(),
+            ..MemberRecord::new(
+                self.id.clone(),
+                Place::new(
+                    format!("r{}", self.zone / settings.zones.max(1)),
+                    zone_name(self.zone),
+                    format!("z{}k{rack}", self.zone),
+                ),
+                AgentAddrs::new(addr),
+            )
         }
     }
 }
--- a/crates/control/tests/test_core.rs
+++ b/crates/control/tests/test_core.rs
@@ -19,11 +19,11 @@
 use jy_types::key::PAGES;
 use jy_types::key::SliceId;
 use jy_types::key::Unit;
+use jy_types::member::AgentAddrs;
 use jy_types::member::AgentId;
 use jy_types::member::Endpoint;
 use jy_types::member::MemberRecord;
 use jy_types::member::MemberState;
-use jy_types::member::MonitorSet;
 use jy_types::member::Place;
 use jy_types::name::Name;
 use jy_types::peer::AgentReport;
@@ -112,27 +112,16 @@
 
     fn join_as(&mut self, id: AgentId, zone: &str, replaces: Vec<AgentId>) {
         let addr = "127.0.0.1:1".parse().unwrap();
+        let rack = id.name.clone();
         let record = MemberRecord {
-            state: MemberState::Joining,
-            place: Place {
-                region: "r".into(),
-                zone: zone.into(),
-                rack: id.name.clone(),
-            },
-            rpc_addr: addr,
-            forward_addr: addr,
-            operator_addr: addr,
             endpoint: Some(Endpoint {
                 workspace: "w".into(),
                 service: "s".into(),
                 slots: 6,
                 checks_fence: true,
             }),
-            monitors: MonitorSet::default(),
-            next_monitors: None,
-            term: 0,
             replaces,
-            id,
+            ..MemberRecord::new(id, Place::new("r", zone, rack), AgentAddrs::new(addr))
         };
         let text = serde_json::to_string(&record).unwrap();
         self.put(member_key(&record.id), &text);
--- a/crates/lease/src/replay.rs
+++ b/crates/lease/src/replay.rs
@@ -12,6 +12,7 @@
 use jy_kernel::trace::TraceError;
 use jy_kernel::trace::read_events;
 use jy_kernel::trace::read_header;
+use jy_types::member::AgentAddrs;
 use jy_types::member::AgentId;
 use jy_types::member::MemberRecord;
 use jy_types::member::MemberState;
@@ -288,20 +289,9 @@
 fn member(id: &AgentId, monitors: MonitorSet, next: Option<MonitorSet>) -> MemberRecord {
     let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
     MemberRecord {
-        id: id.clone(),
         state: MemberState::Live,
-        place: Place {
-            region: "".into(),
-            zone: "".into(),
-            rack: "".into(),
-        },
-        rpc_addr: unknown,
-        forward_addr: unknown,
-        operator_addr: unknown,
-        endpoint: None,
         monitors,
         next_monitors: next,
-        term: 0,
-        replaces: Vec::new(),
+        ..MemberRecord::new(id.clone(), Place::new("", "", ""), AgentAddrs::new(unknown))
     }
 }
--- a/crates/lease/tests/test_tally.rs
+++ b/crates/lease/tests/test_tally.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use jy_lease::tally::VoteTally;
 use jy_lease::timing::LeaseTiming;
+use jy_types::member::AgentAddrs;
 use jy_types::member::AgentId;
 use jy_types::member::MemberRecord;
 use jy_types::member::MemberState;
@@ -23,21 +24,11 @@
 fn member(current: &[&str], next: Option<&[&str]>) -> MemberRecord {
     let addr = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
     MemberRecord {
-        id: id("x"),
         state: MemberState::Live,
-        place: Place {
-            region: "r".into(),
-            zone: "z".into(),
-            rack: "k".into(),
-        },
-        rpc_addr: addr,
-        forward_addr: addr,
-        operator_addr: addr,
-        endpoint: None,
         monitors: set(current),
         next_monitors: next.map(set),
         term: 1,
-        replaces: Vec::new(),
+        ..MemberRecord::new(id("x"), Place::new("r", "z", "k"), AgentAddrs::new(addr))
     }
 }
 
--- a/crates/testutils/src/lease_check/store.rs
+++ b/crates/testutils/src/lease_check/store.rs
@@ -3,10 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use jy_types::member::AgentAddrs;
 use jy_types::member::AgentId;
 use jy_types::member::MemberRecord;
-use jy_types::member::MemberState;
-use jy_types::member::MonitorSet;
 use jy_types::member::Place;
 
 use super::settings::SlotPlace;
@@ -91,21 +90,9 @@
 #[must_use]
 pub fn joining_record(id: AgentId, place: SlotPlace) -> MemberRecord {
     let addr = SocketAddr::from(([127, 0, 0, 1], 1));
-    MemberRecord {
+    MemberRecord::new(
         id,
-        state: MemberState::Joining,
-        place: Place {
-            region: "region".into(),
-            zone: place.zone.to_string().into(),
-            rack: place.rack.to_string().into(),
-        },
-        rpc_addr: addr,
-        forward_addr: addr,
-        operator_addr: addr,
-        endpoint: None,
-        monitors: MonitorSet::default(),
-        next_monitors: None,
-        term: 0,
-        replaces: Vec::new(),
-    }
+        Place::new("region", place.zone.to_string(), place.rack.to_string()),
+        AgentAddrs::new(addr),
+    )
 }
--- a/crates/types/src/member.rs
+++ b/crates/types/src/member.rs
@@ -45,6 +45,41 @@
     pub rack: Name,
 }
 
+impl Place {
+    /// Names a place.
+    #[must_use]
+    pub fn new(region: impl Into<Name>, zone: impl Into<Name>, rack: impl Into<Name>) -> Self {
+        Self {
+            region: region.into(),
+            zone: zone.into(),
+            rack: rack.into(),
+        }
+    }
+}
+
+/// Addresses at which others call an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AgentAddrs {
+    /// JSON-RPC between agents.
+    pub rpc: SocketAddr,
+    /// Requests forwarded between agents.
+    pub forward: SocketAddr,
+    /// The operators' listener.
+    pub operator: SocketAddr,
+}
+
+impl AgentAddrs {
+    /// Names one address for everything.
+    #[must_use]
+    pub const fn new(addr: SocketAddr) -> Self {
+        Self {
+            rpc: addr,
+            forward: addr,
+            operator: addr,
+        }
+    }
+}
+
 /// The backend server beside an agent, as it announced itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Endpoint {
@@ -138,3 +173,23 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub replaces: Vec<AgentId>,
 }
+
+impl MemberRecord {
+    /// Makes the record of an agent that joins, without a backend server and monitors.
+    #[must_use]
+    pub fn new(id: AgentId, place: Place, addrs: AgentAddrs) -> Self {
+        Self {
+            id,
+            state: MemberState::Joining,
+            place,
+            rpc_addr: addrs.rpc,
+            forward_addr: addrs.forward,
+            operator_addr: addrs.operator,
+            endpoint: None,
+            monitors: MonitorSet::default(),
+            next_monitors: None,
+            term: 0,
+            replaces: Vec::new(),
+        }
+    }
+}
