agent: refusals of unread requests carry their id; a dead incarnation ends its requests

Cause: a request whose body was past the limit was refused with an empty id, which a gateway takes for an answer to another request; and an incarnation that was declared dead dropped its callers' connections. Ruled out: reading on past the limit. Change: the id is read before the rest; both ways of stopping close connections in the same two steps. Conclusion: a forwarded request that is too large is refused as not run.

--- a/crates/agent/src/app.rs
+++ b/crates/agent/src/app.rs
@@ -82,18 +82,20 @@
         .id
         .clone();
     let feed = registry.find::<FeedService>(feed::SERVICE)?;
-    tokio::select! {
-        () = leave.wait() => {}
+    let gate = registry.find::<GateService>(gate::SERVICE)?;
+    let gateway = registry.find::<GatewayService>(gateway::SERVICE)?;
+    let end = tokio::select! {
+        () = leave.wait() => {
+            shutdown::hand_over(&id, &feed).await;
+            RunEnd::Left
+        }
         () = condemned(&feed, &id) => {
             log::warn!("agent {id} was declared dead; joining as a new incarnation");
-            return Ok(RunEnd::Condemned);
+            RunEnd::Condemned
         }
-    }
-    let gate = registry.find::<GateService>(gate::SERVICE)?;
-    let gateway = registry.find::<GatewayService>(gateway::SERVICE)?;
-    shutdown::hand_over(&id, &feed).await;
+    };
     shutdown::close(&leave, &listeners, &gate, &gateway).await;
-    Ok(RunEnd::Left)
+    Ok(end)
 }
 
 /// Waits until the records say that an incarnation is dead.
--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -86,17 +86,14 @@
     /// # Errors
     ///
     /// A refusal that tells what is missing.
-    pub fn new(request: &Request, now: WallMillis) -> Result<Self, Refusal> {
+    pub fn new(request: &Request, request_id: Name, now: WallMillis) -> Result<Self, Refusal> {
         let headers = request.headers();
         let target = request
             .uri()
             .path_and_query()
             .map_or("/", |path| path.as_str());
         let (workspace, service, path) = read_target(headers, target)?;
-        let filled = |name: &str| header(headers, name).filter(|text| !text.is_empty());
-        let text = |name: &str| filled(name).map(Name::from);
-        let request_id =
-            text(REQUEST_ID_HEADER).unwrap_or_else(|| uuid::Uuid::now_v7().to_string().into());
+        let text = |name: &str| filled(headers, name).map(Name::from);
         Ok(Self {
             method: request.method().clone(),
             path,
@@ -138,6 +135,18 @@
     }
 }
 
+/// Returns the caller's id of a request, or draws one.
+#[must_use]
+pub fn request_id(request: &Request) -> Name {
+    let given = filled(request.headers(), REQUEST_ID_HEADER).map(Name::from);
+    given.unwrap_or_else(|| uuid::Uuid::now_v7().to_string().into())
+}
+
+/// Returns a header's value unless it is empty: that counts as absent.
+fn filled<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    header(headers, name).filter(|text| !text.is_empty())
+}
+
 /// Reads workspace, service and the backend server's path.
 ///
 /// # Errors
--- a/crates/agent/src/listeners.rs
+++ b/crates/agent/src/listeners.rs
@@ -11,6 +11,7 @@
 use jy_control::api::ControlEvent;
 use jy_kernel::clock;
 use jy_kernel::registry::ServiceRegistry;
+use jy_types::name::Name;
 use jy_types::request::IN_FLIGHT_HEADER;
 use jy_types::request::Refusal;
 use jy_types::request::RefusalKind;
@@ -22,6 +23,7 @@
 use crate::control::ControlService;
 use crate::exchange::ExchangeReply;
 use crate::exchange::RequestExchange;
+use crate::exchange::request_id;
 use crate::feed;
 use crate::feed::FeedService;
 use crate::gate;
@@ -180,29 +182,31 @@
     request: Request,
     body_limit: usize,
 ) -> Answer {
-    let reply = match read_exchange(request, body_limit).await {
-        Ok(exchange) => {
-            let id = exchange.request_id.clone();
-            let reply = gateway.handle(exchange).await;
-            return reply.into_answer(&id, leave.is_closing());
-        }
+    let id = request_id(&request);
+    let read = read_exchange(request, Name::clone(&id), body_limit).await;
+    // What is left of a body that was not read whole must not pass for the next request.
+    let is_broken = read.is_err();
+    let reply = match read {
+        Ok(exchange) => gateway.handle(exchange).await,
         Err(refusal) => ExchangeReply::Refused(refusal),
     };
-    reply.into_answer("", true)
+    reply.into_answer(&id, is_broken || leave.is_closing())
 }
 
 /// Answers a request that another agent forwarded.
 async fn serve_forward(gate: Rc<GateService>, request: Request, body_limit: usize) -> Answer {
-    let (id, reply) = match read_exchange(request, body_limit).await {
+    let id = request_id(&request);
+    let read = read_exchange(request, Name::clone(&id), body_limit).await;
+    let is_broken = read.is_err();
+    let reply = match read {
         Ok(exchange) => {
-            let id = exchange.request_id.clone();
             let left_ms = exchange.timeout_ms.unwrap_or_default();
             let deadline = clock::now().plus(left_ms);
-            (id, gate.handle(Rc::new(exchange), deadline).await)
+            gate.handle(Rc::new(exchange), deadline).await
         }
-        Err(refusal) => ("".into(), ExchangeReply::Refused(refusal)),
+        Err(refusal) => ExchangeReply::Refused(refusal),
     };
-    let mut answer = reply.into_answer(&id, false);
+    let mut answer = reply.into_answer(&id, is_broken);
     let load = HeaderValue::from(gate.load());
     answer
         .headers_mut()
@@ -217,9 +221,10 @@
 /// A refusal that tells what is wrong.
 async fn read_exchange(
     mut request: Request,
+    id: Name,
     body_limit: usize,
 ) -> std::result::Result<RequestExchange, Refusal> {
-    let exchange = RequestExchange::new(&request, clock::wall_now())?;
+    let exchange = RequestExchange::new(&request, id, clock::wall_now())?;
     let body = http::read_body(&mut request, body_limit).await;
     let body = body.map_err(|error| {
         let kind = match error {
--- a/crates/agent/src/shutdown.rs
+++ b/crates/agent/src/shutdown.rs
@@ -100,7 +100,7 @@
     listeners.peers.close();
     let is_closed = || listeners.callers.open() + listeners.peers.open() == 0;
     wait_until(CLOSE_LIMIT_MS, || is_idle() && is_closed()).await;
-    log::info!("left: units handed over, requests ended");
+    log::info!("closed: requests ended");
 }
 
 /// Waits until something holds, at most `millis` milliseconds.
--- a/crates/agent/tests/test_exchange.rs
+++ b/crates/agent/tests/test_exchange.rs
@@ -10,6 +10,7 @@
 use jy_agent::exchange::ExchangeReply;
 use jy_agent::exchange::RequestExchange;
 use jy_agent::exchange::read_refusal;
+use jy_agent::exchange::request_id;
 use jy_types::request::ProblemDetails;
 use jy_types::request::Refusal;
 use jy_types::request::RefusalKind;
@@ -32,7 +33,8 @@
 ///
 /// The refusal.
 fn read(path: &str, headers: &[(&'static str, &'static str)]) -> Result<RequestExchange, Refusal> {
-    RequestExchange::new(&request(path, headers), WallMillis(7))
+    let request = request(path, headers);
+    RequestExchange::new(&request, request_id(&request), WallMillis(7))
 }
 
 #[gtest]
