agent, docs: a list of metrics that a test checks against the code

Cause: no page listed the metrics, and nothing kept one true. Ruled out: a generated page; seven lines with their meaning are written faster than a generator.

--- /dev/null
+++ b/crates/agent/tests/test_metrics.rs
@@ -0,0 +1,59 @@
+//! The operators' page lists every metric.
+
+use std::fs;
+use std::path::Path;
+
+use actix_http::StatusCode;
+use actix_http::header::HeaderMap;
+use bytes::Bytes;
+use googletest::prelude::*;
+use jy_agent::exchange::ExchangeReply;
+use jy_agent::exchange::WholeAnswer;
+use jy_agent::metrics::AgentMetrics;
+use jy_types::request::Refusal;
+use jy_types::request::RefusalKind;
+use jy_types::time::WallMillis;
+
+/// Names of the metrics in a text of counters.
+fn names(text: &str) -> Vec<String> {
+    text.lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "))
+        .filter_map(|line| line.split(' ').next().map(str::to_owned))
+        .collect()
+}
+
+#[gtest]
+fn encode_every_metric_is_documented() -> Result<()> {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operators/metrics.md");
+    let page = fs::read_to_string(path).or_fail()?;
+    let metrics = AgentMetrics::new(WallMillis(1_000));
+    let service = ("seals".into(), "verifier".into());
+    let answer = WholeAnswer::new(StatusCode::OK, &HeaderMap::new(), Bytes::new());
+    metrics.note_request(&service, &ExchangeReply::Answered(answer), 5);
+    metrics.note_unavailable(&service, 5);
+    let found = names(&metrics.encode(0, 0, 0));
+    expect_that!(found.len(), ge(7));
+    for name in &found {
+        expect_that!(page, contains_substring(format!("| `{name}` |")));
+    }
+    let listed = page
+        .lines()
+        .filter(|line| line.starts_with("| `jy_"))
+        .count();
+    expect_that!(listed, eq(found.len()));
+    Ok(())
+}
+
+#[gtest]
+fn note_request_refusal_has_no_duration() {
+    let metrics = AgentMetrics::new(WallMillis(1_000));
+    let service = ("seals".into(), "verifier".into());
+    let refusal = Refusal::new(RefusalKind::Overloaded, "full");
+    metrics.note_request(&service, &ExchangeReply::Refused(refusal), 5);
+    let text = metrics.encode(0, 0, 0);
+    expect_that!(text, contains_substring("outcome=\"overloaded\"} 1"));
+    expect_that!(
+        text,
+        not(contains_substring("jy_request_duration_seconds_count"))
+    );
+}
