burn, ctl: no negative zero; services with owners are named so

Cause: a service without samples showed -0.00 s of unavailable keys, as the sum of no floats is a negative zero; and the status listed services under KEYED SERVICE that are not divided by key but have owners for their non-idempotent requests. Ruled out: rounding in the text, which leaves the JSON as it was. Change: the sum starts at zero; the column is named SERVICE WITH OWNERS. Measured: test make_without_samples_has_no_negative_zero fails before and passes after.

--- a/crates/burn/src/report.rs
+++ b/crates/burn/src/report.rs
@@ -306,7 +306,8 @@
             .deltas
             .iter()
             .map(|delta| delta.counters.unavailable_s * window.share(delta))
-            .sum();
+            // The sum of nothing would be a negative zero.
+            .fold(0.0, |total, part| total + part);
         let longest_s = window::longest_stretch_s(&self.deltas, window);
         let target_s = std::time::Duration::from_millis(self.spec.target.key_unavailable_ms);
         let target_s = target_s.as_secs_f64();
--- a/crates/burn/tests/test_report.rs
+++ b/crates/burn/tests/test_report.rs
@@ -247,3 +247,9 @@
     let scrape = scrape::read(quoted).expect("well formed");
     verify_that!(scrape.services[0].name.workspace, displays_as(eq("a\"},")))
 }
+
+#[gtest]
+fn make_without_samples_has_no_negative_zero() {
+    let report = make(&[]);
+    expect_true!(report.services[0].unavailable.total_s.is_sign_positive());
+}
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -182,7 +182,7 @@
     };
     let head = format!(
         "\n{:<32} {:>6} {:>9} {:>10} {:>6}\n",
-        "KEYED SERVICE", "OWNERS", "IMBALANCE", "UNASSIGNED", "MOVING"
+        "SERVICE WITH OWNERS", "OWNERS", "IMBALANCE", "UNASSIGNED", "MOVING"
     );
     head + &services.iter().map(line).collect::<String>()
 }
