edge, platform: the whole path on the association platform

Cause: the platform lists no instances, keys are held by backend servers that report to the agent beside them, and only that agent reaches its backend server. The agent's sets of monitors, hashed slices and windows of ids answer another platform.

Ruled out: an adapter in front of jyagent. Its owner is an incarnation of the agent, here it is a life of the backend server, which outlives the agent; and its protocol of leases needs three more messages a second from each instance for what the store's lease gives at a tenth of a call.

Change: platform/ decodes and encodes what the platform speaks; crates/http tells exactly what became of a request; crates/ranges holds the table of key ranges that changes by compare-and-swap without a controller; crates/policy holds admission, cold starts, choice and the shared budget of extra sends; crates/edge puts them together as jyedge.

--- a/crates/config/src/agent.rs
+++ b/crates/config/src/agent.rs
@@ -165,7 +165,7 @@
 }
 
 /// Reads an IP address and port.
-fn address(node: &TreeNode, log: &mut FindingLog) -> Option<SocketAddr> {
+pub(crate) fn address(node: &TreeNode, log: &mut FindingLog) -> Option<SocketAddr> {
     let text = reader::text(node, log)?;
     let hint = "write an IP address and a port, such as \"10.0.0.7:7100\"";
     let address: Option<SocketAddr> = text.parse().ok();
@@ -291,7 +291,7 @@
 }
 
 /// Reads the level of the logs.
-fn read_level(node: &TreeNode, log: &mut FindingLog) -> Option<Name> {
+pub(crate) fn read_level(node: &TreeNode, log: &mut FindingLog) -> Option<Name> {
     let level = reader::text(node, log)?;
     if !LOG_LEVELS.contains(&&*level) {
         let message = format!("unknown level {level:?} of the logs");
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,6 +4,7 @@
 //! settings and collect findings, so that one check reports everything that is wrong.
 
 pub mod agent;
+pub mod edge;
 pub mod parameter;
 pub mod reader;
 pub mod render;
--- /dev/null
+++ b/crates/edge/src/beliefs.rs
@@ -0,0 +1,240 @@
+//! What the agent believes of the fleet: a replica of the store's records, decoded.
+//!
+//! Replaced as a whole with each batch of records, and only ever by a newer one.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use jy_platform::operator;
+use jy_platform::operator::OPERATOR_PREFIX;
+use jy_platform::operator::OperatorRecord;
+use jy_policy::choice::RouteChoice;
+use jy_ranges::table::RangeTable;
+use jy_types::endpoint::InstanceRecord;
+use jy_types::name::Name;
+use jy_types::record::Record;
+use jy_types::record::RecordBatch;
+use jy_types::routing::RouteTable;
+use jy_types::time::Millis;
+
+/// Prefix of the product's own records.
+pub const OWN_PREFIX: &str = "jy/";
+/// Prefix of the agents' records.
+const INSTANCE_PREFIX: &str = "jy/instance/";
+/// Prefix of the tables of key ranges.
+const RANGES_PREFIX: &str = "jy/ranges/";
+
+/// An instance whose record lapsed is still tried this long, in milliseconds: after an outage of the
+/// store, entries of live instances are back within 2 s.
+pub const LAPSE_GRACE_MS: u64 = 2_000;
+
+/// An instance whose record lapsed is forgotten after this long, in milliseconds.
+const FORGET_MS: u64 = 120_000;
+
+/// An agent's record and what became of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SeenInstance {
+    /// The record.
+    pub record: Rc<InstanceRecord>,
+    /// Its revision in the store, or zero once it lapsed.
+    pub revision: u64,
+    /// When this agent saw that it had lapsed.
+    pub lapsed: Option<Millis>,
+}
+
+/// A table of key ranges and its revision.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SeenRanges {
+    /// The table.
+    pub table: Rc<RangeTable>,
+    /// Its revision in the store.
+    pub revision: u64,
+}
+
+/// Everything that was learned from the store.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FleetBeliefs {
+    /// All records up to this revision are taken in.
+    pub revision: u64,
+    /// The configuration in force.
+    pub routes: Option<Rc<RouteTable>>,
+    /// Availability zones that are taken out.
+    pub zones_out: BTreeSet<Name>,
+    /// Agents by the name of their instance.
+    pub instances: BTreeMap<Name, SeenInstance>,
+    /// Key ranges by service.
+    pub ranges: BTreeMap<Name, SeenRanges>,
+}
+
+/// Returns the key of an agent's record.
+#[must_use]
+pub fn instance_key(node: &str) -> Name {
+    format!("{INSTANCE_PREFIX}{node}").into()
+}
+
+/// Returns the key of a service's key ranges.
+#[must_use]
+pub fn ranges_key(service: &str) -> Name {
+    format!("{RANGES_PREFIX}{service}").into()
+}
+
+impl FleetBeliefs {
+    /// Takes in changes.
+    #[must_use]
+    pub fn with_changes(mut self, now: Millis, batch: &RecordBatch) -> Self {
+        for record in &batch.records {
+            self.take(now, record);
+        }
+        self.revision = self.revision.max(batch.complete_to);
+        self.forget_old(now);
+        self
+    }
+
+    /// Takes in a full list of the records under the given prefixes: what it lacks is gone.
+    #[must_use]
+    pub fn with_list(mut self, now: Millis, batch: &RecordBatch) -> Self {
+        let listed: BTreeSet<&str> = batch.records.iter().map(|record| &*record.key).collect();
+        let zones = std::mem::take(&mut self.zones_out);
+        let is_listed = |zone: &Name| listed.iter().any(|key| key.ends_with(&format!("/{zone}")));
+        self.zones_out = zones.into_iter().filter(is_listed).collect();
+        for (node, seen) in &mut self.instances {
+            if !listed.contains(&*instance_key(node)) && seen.lapsed.is_none() {
+                seen.lapsed = Some(now);
+                seen.revision = 0;
+            }
+        }
+        self.with_changes(now, batch)
+    }
+
+    /// Returns the live agents that may run requests of a service.
+    #[must_use]
+    pub fn choices(&self, now: Millis, service: &str, own_zone: &str) -> Vec<RouteChoice> {
+        let serves = |seen: &&SeenInstance| {
+            let backend = seen.record.serving();
+            backend.is_some_and(|backend| *backend.service == *service)
+                && !self.zones_out.contains(&seen.record.zone)
+                && seen.is_tried(now)
+        };
+        let choice = |seen: &SeenInstance| RouteChoice {
+            node: Name::clone(&seen.record.node),
+            is_near: *seen.record.zone == *own_zone,
+        };
+        self.instances.values().filter(serves).map(choice).collect()
+    }
+
+    /// Number of agents that are taken for live.
+    #[must_use]
+    pub fn live(&self, now: Millis) -> usize {
+        let tried = |seen: &&SeenInstance| seen.is_tried(now);
+        self.instances.values().filter(tried).count()
+    }
+
+    /// Takes in one record.
+    fn take(&mut self, now: Millis, record: &Record) {
+        if record.key.starts_with(OPERATOR_PREFIX) {
+            self.take_operator(record);
+        } else if let Some(node) = record.key.strip_prefix(INSTANCE_PREFIX) {
+            self.take_instance(now, node, record);
+        } else if let Some(service) = record.key.strip_prefix(RANGES_PREFIX) {
+            self.take_ranges(service, record);
+        }
+    }
+
+    /// Takes in what an operator wrote.
+    fn take_operator(&mut self, record: &Record) {
+        match operator::decode(record) {
+            Ok(OperatorRecord::Config(table)) => self.take_routes(*table, record.revision),
+            Ok(OperatorRecord::Zone { zone, is_out }) => {
+                log::info!(
+                    "belief zone={zone} out={is_out} revision={}",
+                    record.revision
+                );
+                if is_out {
+                    self.zones_out.insert(zone);
+                } else {
+                    self.zones_out.remove(&zone);
+                }
+            }
+            Ok(OperatorRecord::Other) => {}
+            Err(error) => log::warn!("{error}; what was in force before stays"),
+        }
+    }
+
+    /// Takes up a configuration that is newer than the one in force.
+    fn take_routes(&mut self, table: RouteTable, revision: u64) {
+        let current = self.routes.as_ref().map_or(0, |routes| routes.version);
+        if self.routes.is_some() && table.version <= current {
+            return;
+        }
+        log::info!(
+            "belief configuration={} before={current} routes={} revision={revision}",
+            table.version,
+            table.routes.len()
+        );
+        self.routes = Some(Rc::new(table));
+    }
+
+    /// Takes in an agent's record.
+    fn take_instance(&mut self, now: Millis, node: &str, record: &Record) {
+        let Some(value) = &record.value else {
+            if let Some(seen) = self.instances.get_mut(node)
+                && seen.revision < record.revision
+                && seen.lapsed.is_none()
+            {
+                log::info!("belief instance={node} lapsed revision={}", record.revision);
+                seen.lapsed = Some(now);
+                seen.revision = 0;
+            }
+            return;
+        };
+        match serde_json::from_str::<InstanceRecord>(value) {
+            Ok(instance) if *instance.node == *node => {
+                let seen = SeenInstance {
+                    record: Rc::new(instance),
+                    revision: record.revision,
+                    lapsed: None,
+                };
+                self.instances.insert(node.into(), seen);
+            }
+            Ok(_) => log::warn!("{} names another instance; left out", record.key),
+            Err(error) => log::warn!("{} is not understood: {error}; left out", record.key),
+        }
+    }
+
+    /// Takes in a service's key ranges.
+    fn take_ranges(&mut self, service: &str, record: &Record) {
+        let Some(value) = &record.value else {
+            self.ranges.remove(service);
+            return;
+        };
+        match RangeTable::parse(value) {
+            Ok(table) => {
+                let seen = SeenRanges {
+                    table: Rc::new(table),
+                    revision: record.revision,
+                };
+                self.ranges.insert(service.into(), seen);
+            }
+            Err(error) => log::warn!("{}: {error}; the ranges before stay", record.key),
+        }
+    }
+
+    /// Forgets instances that lapsed long ago.
+    fn forget_old(&mut self, now: Millis) {
+        let is_kept = |seen: &SeenInstance| {
+            let lapsed = seen.lapsed;
+            lapsed.is_none_or(|lapsed| now.since(lapsed) < FORGET_MS)
+        };
+        self.instances.retain(|_, seen| is_kept(seen));
+    }
+}
+
+impl SeenInstance {
+    /// Whether requests are still sent there.
+    #[must_use]
+    pub fn is_tried(&self, now: Millis) -> bool {
+        let lapsed = self.lapsed;
+        lapsed.is_none_or(|lapsed| now.since(lapsed) < LAPSE_GRACE_MS)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/keeper.rs
@@ -0,0 +1,496 @@
+//! Keeps the ranges of keys of the service beside the agent.
+//!
+//! Every agent changes the service's table by itself, by compare-and-swap. Only the agent beside an
+//! owner moves its keys, after the backend server has released them; only when that agent's record is
+//! gone for longer than it may grant keys do others take them.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jy_kernel::clock;
+use jy_platform::store::CommitEnd;
+use jy_platform::store::Result;
+use jy_platform::store::StoreClient;
+use jy_platform::store::StoreCommit;
+use jy_platform::store::StoreWrite;
+use jy_ranges::plan;
+use jy_ranges::plan::RangeReceiver;
+use jy_ranges::plan::ReceiverQueue;
+use jy_ranges::table::KeyRange;
+use jy_ranges::table::RangeOwner;
+use jy_ranges::table::RangeTable;
+use jy_types::endpoint::BackendPhase;
+use jy_types::name::Name;
+use jy_types::time::Millis;
+use tokio::time::timeout;
+
+use crate::backend::BackendCell;
+use crate::backend::BackendState;
+use crate::beliefs::FleetBeliefs;
+use crate::beliefs::SeenRanges;
+use crate::beliefs::instance_key;
+use crate::beliefs::ranges_key;
+use crate::feed::BeliefCell;
+use crate::gate::OwnGate;
+use crate::gateway::CallerGateway;
+use crate::member::AUTHORITY_MARGIN_MS;
+use crate::member::AUTHORITY_MS;
+use crate::member::OwnMember;
+
+/// Longest time between two looks, in milliseconds: loads change within a second.
+const LOOK_MS: u64 = 250;
+/// Time between looks of agents that have nothing to keep, in milliseconds.
+const IDLE_LOOK_MS: u64 = 2_000;
+/// The first table is made once the agents have been up this long, in milliseconds: all instances start
+/// within 0.3 s, and their backend servers announce themselves within one and a half.
+const SETTLE_MS: u64 = 2_500;
+/// Time between moves to balance load, in milliseconds: the loads must show what the last one did.
+const BALANCE_MS: u64 = 2_500;
+/// Loads of others that are older are not used, in milliseconds.
+const LOAD_AGE_MS: u64 = 2_000;
+/// Each agent waits this much longer than the one before it with changes that any may make, in
+/// milliseconds: a change reaches all within a few round trips.
+const RANK_DELAY_MS: u64 = 200;
+/// A backend server that refuses connections may be back this soon, in milliseconds.
+const RESTART_MS: u64 = 1_000;
+
+/// What is needed to make a keeper.
+pub struct KeeperParts {
+    /// Name of the instance.
+    pub node: Name,
+    /// The platform's store.
+    pub store: StoreClient,
+    /// What is believed of the fleet.
+    pub beliefs: Rc<BeliefCell>,
+    /// The backend server beside the agent.
+    pub backend: BackendCell,
+    /// The agent's membership.
+    pub member: Rc<OwnMember>,
+    /// The agent's gate.
+    pub gate: Rc<OwnGate>,
+    /// The agent's gateway, which hears of others' loads.
+    pub gateway: Rc<CallerGateway>,
+    /// Longest hold of keys, in milliseconds.
+    pub max_hold_ms: u64,
+}
+
+/// The keeper.
+pub struct RangeKeeper {
+    parts: KeeperParts,
+    began: Millis,
+    /// When an owner without a record was first missed.
+    missed: RefCell<BTreeMap<Name, Millis>>,
+    balanced: Cell<Millis>,
+    written: Cell<u64>,
+}
+
+/// A change of a table with what it rests on.
+struct TableChange {
+    table: RangeTable,
+    /// Instances whose records must not be there.
+    gone: Vec<Name>,
+    why: &'static str,
+}
+
+/// What one look sees.
+struct KeeperView<'a> {
+    now: Millis,
+    beliefs: &'a FleetBeliefs,
+    table: &'a RangeTable,
+    receivers: &'a [RangeReceiver],
+}
+
+impl RangeKeeper {
+    /// Makes a keeper.
+    #[must_use]
+    pub fn new(parts: KeeperParts) -> Self {
+        Self {
+            parts,
+            began: clock::now(),
+            missed: RefCell::new(BTreeMap::new()),
+            balanced: Cell::new(Millis::default()),
+            written: Cell::new(0),
+        }
+    }
+
+    /// Keeps the ranges for ever.
+    pub async fn run(&self) {
+        let mut beliefs_news = self.parts.beliefs.subscribe();
+        let mut backend_news = self.parts.backend.news();
+        loop {
+            let is_busy = match self.look().await {
+                Ok(is_busy) => is_busy,
+                Err(error) => {
+                    log::debug!("key ranges not changed: {error}");
+                    true
+                }
+            };
+            let wait_ms = if is_busy { LOOK_MS } else { IDLE_LOOK_MS };
+            let news = async {
+                tokio::select! {
+                    _ = beliefs_news.changed() => {}
+                    _ = backend_news.changed() => {}
+                }
+            };
+            let _is_due = timeout(Duration::from_millis(wait_ms), news).await;
+        }
+    }
+
+    /// Looks once at the service's table and changes it where that is due; false if the agent has
+    /// nothing to keep.
+    ///
+    /// # Errors
+    ///
+    /// What the store says.
+    async fn look(&self) -> Result<bool> {
+        let beliefs = Rc::clone(&self.parts.beliefs.borrow());
+        if beliefs.revision < self.written.get() {
+            return Ok(true);
+        }
+        let Some(service) = self.service(&beliefs) else {
+            return Ok(false);
+        };
+        let now = clock::now();
+        let receivers = self.receivers(now, &beliefs, &service);
+        let Some(seen) = beliefs.ranges.get(&service) else {
+            return self.found(now, &service, &receivers).await;
+        };
+        let view = KeeperView {
+            now,
+            beliefs: &beliefs,
+            table: &seen.table,
+            receivers: &receivers,
+        };
+        if let Some(change) = self.change(&view) {
+            self.commit(&service, seen, change).await?;
+        }
+        Ok(true)
+    }
+
+    /// The service whose keys this agent keeps.
+    fn service(&self, beliefs: &FleetBeliefs) -> Option<Name> {
+        let routes = beliefs.routes.as_ref()?;
+        let announced = self
+            .parts
+            .backend
+            .read(|state| state.map(|state| Name::clone(&state.announced.service)));
+        let is_keyed = |service: &Name| {
+            let rule = routes.services.get(service);
+            rule.is_some_and(|rule| rule.keyed)
+        };
+        if let Some(service) = announced {
+            return is_keyed(&service).then_some(service);
+        }
+        let is_own = |range: &KeyRange| range.owner.node == self.parts.node;
+        beliefs
+            .ranges
+            .iter()
+            .find(|(_, seen)| seen.table.ranges().iter().any(is_own))
+            .map(|(service, _)| Name::clone(service))
+    }
+
+    /// Backend servers that may be given keys of a service.
+    fn receivers(&self, now: Millis, beliefs: &FleetBeliefs, service: &str) -> Vec<RangeReceiver> {
+        let (own_used, _) = self.parts.gate.usage(now);
+        beliefs
+            .choices(now, service, "")
+            .into_iter()
+            .filter(|choice| {
+                let gateway = &self.parts.gateway;
+                !gateway.with_endpoints(|table| table.is_passed_over(now, &choice.node))
+            })
+            .filter_map(|choice| {
+                let seen = beliefs.instances.get(&choice.node)?;
+                let backend = seen.record.serving()?;
+                let used = if choice.node == self.parts.node {
+                    Some(own_used)
+                } else {
+                    let gateway = &self.parts.gateway;
+                    gateway.with_endpoints(|table| table.used(now, &choice.node, LOAD_AGE_MS))
+                };
+                Some(RangeReceiver {
+                    owner: RangeOwner {
+                        node: choice.node,
+                        life: backend.life.clone(),
+                    },
+                    slots: backend.slots,
+                    used,
+                })
+            })
+            .collect()
+    }
+
+    /// Makes the first table of a service.
+    ///
+    /// # Errors
+    ///
+    /// What the store says.
+    async fn found(
+        &self,
+        now: Millis,
+        service: &Name,
+        receivers: &[RangeReceiver],
+    ) -> Result<bool> {
+        let rank_ms = self.rank_ms(receivers);
+        if now.since(self.began) < SETTLE_MS + rank_ms {
+            return Ok(true);
+        }
+        let weights: Vec<(RangeOwner, u32)> = receivers
+            .iter()
+            .map(|receiver| (receiver.owner.clone(), receiver.slots))
+            .collect();
+        let Some(table) = RangeTable::new(&weights) else {
+            return Ok(true);
+        };
+        let change = TableChange {
+            table,
+            gone: Vec::new(),
+            why: "first",
+        };
+        self.write(service, 0, change).await?;
+        Ok(true)
+    }
+
+    /// How long this agent lets others go first, in milliseconds.
+    fn rank_ms(&self, receivers: &[RangeReceiver]) -> u64 {
+        let before = |receiver: &&RangeReceiver| receiver.owner.node < self.parts.node;
+        receivers.iter().filter(before).count() as u64 * RANK_DELAY_MS
+    }
+
+    /// Finds the change that is due.
+    fn change(&self, view: &KeeperView<'_>) -> Option<TableChange> {
+        self.claim(view)
+            .or_else(|| self.finish_moves(view))
+            .or_else(|| self.leave(view))
+            .or_else(|| self.take_over(view))
+            .or_else(|| self.balance(view))
+    }
+
+    /// Gives the present life of the backend server the keys of its earlier ones, which have ended.
+    fn claim(&self, view: &KeeperView<'_>) -> Option<TableChange> {
+        let own = self.parts.backend.owner()?;
+        let is_serving = self
+            .parts
+            .backend
+            .read(|state| state.is_some_and(BackendState::is_serving));
+        let is_earlier = |owner: &RangeOwner| owner.node == own.node && owner.life != own.life;
+        let has_earlier = view
+            .table
+            .ranges()
+            .iter()
+            .any(|range| is_earlier(&range.owner));
+        if !is_serving || !has_earlier {
+            return None;
+        }
+        let table = view.table.clone();
+        Some(TableChange {
+            table: table.reassigned(is_earlier, |_| Some(own.clone())),
+            gone: Vec::new(),
+            why: "new life",
+        })
+    }
+
+    /// Hands over marked ranges that the backend server has released, and takes back marks whose next
+    /// owner is gone.
+    fn finish_moves(&self, view: &KeeperView<'_>) -> Option<TableChange> {
+        let own = self.parts.backend.owner()?;
+        let mut marked = view.table.owned(&own).filter(|range| range.next.is_some());
+        marked.next()?;
+        let is_receiver = |owner: &RangeOwner| {
+            view.receivers
+                .iter()
+                .any(|receiver| receiver.owner == *owner)
+        };
+        let is_void = |range: &KeyRange| {
+            let next = range.next.as_ref();
+            range.owner == own && next.is_some_and(|next| !is_receiver(next))
+        };
+        if view.table.ranges().iter().any(is_void) {
+            return Some(TableChange {
+                table: view.table.clone().unmarked(is_void),
+                gone: Vec::new(),
+                why: "receiver gone",
+            });
+        }
+        let table = self.parts.backend.read(|state| {
+            let state = state?;
+            let is_free = |range: &KeyRange| state.is_free(view.now, range);
+            let table = view.table.clone().moved(&own, &state.freed, is_free);
+            (table.ranges() != view.table.ranges()).then_some(table)
+        })?;
+        Some(TableChange {
+            table,
+            gone: Vec::new(),
+            why: "released",
+        })
+    }
+
+    /// Marks all keys of a backend server that leaves, or gives them away where it is gone.
+    fn leave(&self, view: &KeeperView<'_>) -> Option<TableChange> {
+        let others: Vec<RangeReceiver> = view
+            .receivers
+            .iter()
+            .filter(|receiver| receiver.owner.node != self.parts.node)
+            .cloned()
+            .collect();
+        if others.is_empty() {
+            return None;
+        }
+        let Some(own) = self.parts.backend.owner() else {
+            return self.leave_unseen(view, &others);
+        };
+        if !self.must_leave(view) {
+            return None;
+        }
+        let table = plan::leave(view.table, &own, &others);
+        (table != *view.table).then_some(TableChange {
+            table,
+            gone: Vec::new(),
+            why: "leaves",
+        })
+    }
+
+    /// Whether the backend server is to hold no keys.
+    fn must_leave(&self, view: &KeeperView<'_>) -> bool {
+        let is_out = view
+            .beliefs
+            .instances
+            .get(&self.parts.node)
+            .is_some_and(|seen| view.beliefs.zones_out.contains(&seen.record.zone));
+        let is_silent = self.parts.backend.is_silent(view.now);
+        self.parts.backend.read(|state| {
+            state.is_some_and(|state| {
+                let is_dead = state.refuses && view.now.since(state.heard) >= RESTART_MS;
+                let is_draining = state.announced.phase == BackendPhase::Draining;
+                is_out || is_silent || is_dead || is_draining || state.ended
+            })
+        })
+    }
+
+    /// Gives away the keys of a backend server that never announced itself to this run of the agent.
+    fn leave_unseen(&self, view: &KeeperView<'_>, others: &[RangeReceiver]) -> Option<TableChange> {
+        let hold_over = self
+            .began
+            .plus(self.parts.max_hold_ms + AUTHORITY_MARGIN_MS);
+        if view.now < hold_over {
+            return None;
+        }
+        let is_own = |owner: &RangeOwner| owner.node == self.parts.node;
+        let mut queue = ReceiverQueue::new(view.table, others);
+        let table = view.table.clone();
+        let table = table.reassigned(is_own, |range| queue.choose(range));
+        (table.ranges() != view.table.ranges()).then_some(TableChange {
+            table,
+            gone: Vec::new(),
+            why: "no backend server",
+        })
+    }
+
+    /// Takes over the keys of instances whose records are gone for longer than they may grant keys.
+    fn take_over(&self, view: &KeeperView<'_>) -> Option<TableChange> {
+        let lost = self.lost_owners(view);
+        if lost.is_empty() || view.receivers.is_empty() {
+            return None;
+        }
+        let is_lost = |owner: &RangeOwner| lost.contains(&owner.node);
+        let mut queue = ReceiverQueue::new(view.table, view.receivers);
+        let table = view.table.clone();
+        let table = table.reassigned(is_lost, |range| queue.choose(range));
+        Some(TableChange {
+            table,
+            gone: lost,
+            why: "owner lost",
+        })
+    }
+
+    /// Owners whose keys may be taken.
+    fn lost_owners(&self, view: &KeeperView<'_>) -> Vec<Name> {
+        let wait_ms = AUTHORITY_MS + AUTHORITY_MARGIN_MS + self.rank_ms(view.receivers);
+        let mut missed = self.missed.borrow_mut();
+        let is_listed = |node: &Name| {
+            let seen = view.beliefs.instances.get(node);
+            seen.is_some_and(|seen| seen.lapsed.is_none())
+        };
+        missed.retain(|node, _| !is_listed(node));
+        let mut lost = Vec::new();
+        for range in view.table.ranges() {
+            let node = &range.owner.node;
+            if is_listed(node) || lost.contains(node) {
+                continue;
+            }
+            let since = *missed.entry(Name::clone(node)).or_insert(view.now);
+            if view.now.since(since) >= wait_ms {
+                lost.push(Name::clone(node));
+            }
+        }
+        lost
+    }
+
+    /// Gives keys to a newcomer, or to one with room when this owner is busy.
+    fn balance(&self, view: &KeeperView<'_>) -> Option<TableChange> {
+        let own = self.parts.backend.owner()?;
+        if view.now.since(self.balanced.get()) < BALANCE_MS {
+            return None;
+        }
+        let (used, work) = self.parts.gate.usage(view.now);
+        let step = plan::share_with_newcomer(view.table, &own, view.receivers)
+            .or_else(|| plan::relieve(view.table, &own, used, &work, view.receivers))?;
+        self.balanced.set(view.now);
+        let table = view.table.clone();
+        Some(TableChange {
+            table: table.marked(&own, step.first, step.last, &step.to),
+            gone: Vec::new(),
+            why: "balance",
+        })
+    }
+
+    /// Writes a change of a table.
+    ///
+    /// # Errors
+    ///
+    /// What the store says.
+    async fn commit(&self, service: &Name, seen: &SeenRanges, change: TableChange) -> Result<()> {
+        self.write(service, seen.revision, change).await
+    }
+
+    /// Writes a table if it has the expected revision.
+    ///
+    /// # Errors
+    ///
+    /// What the store says.
+    async fn write(&self, service: &Name, expected: u64, change: TableChange) -> Result<()> {
+        let key = ranges_key(service);
+        let text = match change.table.to_text() {
+            Ok(text) => text,
+            Err(error) => {
+                log::error!("key ranges of {service} can't be written down: {error}");
+                return Ok(());
+            }
+        };
+        let absent = change.gone.iter().map(|node| (instance_key(node), 0));
+        let commit = StoreCommit {
+            expected: [(Name::clone(&key), expected)]
+                .into_iter()
+                .chain(absent)
+                .collect(),
+            writes: vec![StoreWrite {
+                key,
+                value: text,
+                lease: 0,
+            }],
+        };
+        let end = self.parts.store.commit(&commit).await?;
+        log::info!(
+            "decision key ranges service={service} why={:?} lost={:?} expected={expected} end={end:?}",
+            change.why,
+            change.gone
+        );
+        if let CommitEnd::Applied { revision } = end {
+            self.written.set(revision);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/edge/src/main.rs
@@ -0,0 +1,91 @@
+//! `jyedge`: runs the agent of a platform whose backend servers announce themselves.
+
+use std::process::ExitCode;
+
+use anyhow::Context;
+use anyhow::Result;
+use getopts::Matches;
+use getopts::Options;
+use jy_config::edge;
+use jy_config::edge::EdgeSettings;
+use jy_edge::app;
+
+/// First lines of the help text.
+const USAGE: &str = "usage: jyedge --config FILE [--check]
+       jyedge --config-variable NAME
+
+Runs the agent beside a backend server. SIGTERM or SIGINT makes it leave gracefully; SIGHUP makes it read
+its settings anew.
+
+example: jyedge --config /etc/jasmineyoke/edge.jsonc";
+
+fn main() -> ExitCode {
+    let options = options();
+    match start(&options) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("jyedge: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Options of the command line.
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("c", "config", "settings, in JSON with comments", "FILE");
+    options.optopt(
+        "",
+        "config-variable",
+        "environment variable that holds the path of the settings",
+        "NAME",
+    );
+    options.optflag("", "check", "check the settings and stop");
+    options.optflag("h", "help", "print this help");
+    options
+}
+
+/// Does what the command line asks for.
+///
+/// # Errors
+///
+/// What is wrong, with a hint.
+fn start(options: &Options) -> Result<()> {
+    let matches = options
+        .parse(std::env::args().skip(1))
+        .context("see jyedge --help")?;
+    if matches.opt_present("help") {
+        print!("{}", options.usage(USAGE));
+        return Ok(());
+    }
+    let (path, settings) = read_settings(&matches)?;
+    if matches.opt_present("check") {
+        println!("settings of agent {} are in order", settings.name);
+        return Ok(());
+    }
+    let logs = jy_kernel::logs::start_on_stdout(&settings.log_level)?;
+    let result = actix_rt::System::new().block_on(app::run(&path, settings));
+    logs.flush();
+    result
+}
+
+/// Reads the settings that the command line names.
+///
+/// # Errors
+///
+/// What is wrong, with a hint.
+fn read_settings(matches: &Matches) -> Result<(String, EdgeSettings)> {
+    let path = match (
+        matches.opt_str("config"),
+        matches.opt_str("config-variable"),
+    ) {
+        (Some(path), _) => path,
+        (None, Some(name)) => std::env::var(&name)
+            .with_context(|| format!("the variable {name} holds no path; set it"))?,
+        (None, None) => anyhow::bail!("--config FILE is missing; see jyedge --help"),
+    };
+    let text = std::fs::read_to_string(&path)
+        .with_context(|| format!("could not read {path}; check the path after --config"))?;
+    let settings = edge::parse(&path, &text)?;
+    Ok((path, settings))
+}
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,154 @@
+//! Counters and histograms, served as text.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+/// First bucket of latencies, in milliseconds; each further one is twice as wide.
+const FIRST_BUCKET_MS: f64 = 2.0;
+/// Number of buckets: the last one ends at 8 s, past the longest time limit.
+const BUCKETS: u16 = 13;
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabels {
+    /// Route name.
+    pub route: String,
+    /// Short name of the outcome.
+    pub outcome: String,
+}
+
+/// All metrics of an agent.
+#[derive(Debug)]
+pub struct EdgeMetrics {
+    registry: Registry,
+    /// Requests by route and outcome.
+    pub requests: Family<OutcomeLabels, Counter>,
+    /// Time from a request's last byte to its answer, in milliseconds.
+    pub caller_ms: Histogram,
+    /// Time from a dispatch to the backend server's answer, in milliseconds.
+    pub backend_ms: Histogram,
+    /// Requests that the backend server rejected.
+    pub shed: Counter,
+    /// Requests sent to a second backend server.
+    pub extra_sends: Counter,
+    /// Callers that left before their answer.
+    pub gone: Counter,
+    /// Version of the configuration in force.
+    pub configuration: Gauge,
+    /// Live agents.
+    pub instances: Gauge,
+    /// Milliseconds since the store answered last.
+    pub store_age_ms: Gauge,
+    /// Milliseconds for which the agent may still grant keys.
+    pub authority_ms: Gauge,
+    /// Requests at the gate, waiting or running.
+    pub gate_busy: Gauge,
+    /// Share of the backend server's capacity in use, in percent.
+    pub gate_used_percent: Gauge,
+    /// Ranges of keys that the backend server owns.
+    pub ranges: Gauge,
+}
+
+impl EdgeMetrics {
+    /// Makes all metrics.
+    #[must_use]
+    pub fn new() -> Self {
+        let buckets = || exponential_buckets(FIRST_BUCKET_MS, 2.0, BUCKETS);
+        let mut metrics = Self {
+            registry: Registry::with_prefix("jy"),
+            requests: Family::default(),
+            caller_ms: Histogram::new(buckets()),
+            backend_ms: Histogram::new(buckets()),
+            shed: Counter::default(),
+            extra_sends: Counter::default(),
+            gone: Counter::default(),
+            configuration: Gauge::default(),
+            instances: Gauge::default(),
+            store_age_ms: Gauge::default(),
+            authority_ms: Gauge::default(),
+            gate_busy: Gauge::default(),
+            gate_used_percent: Gauge::default(),
+            ranges: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    /// Registers all metrics under their names.
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests by route and outcome",
+            self.requests.clone(),
+        );
+        registry.register(
+            "caller_ms",
+            "Request to answer, in ms",
+            self.caller_ms.clone(),
+        );
+        registry.register(
+            "backend_ms",
+            "Dispatch to answer, in ms",
+            self.backend_ms.clone(),
+        );
+        registry.register("shed", "Rejected by the backend server", self.shed.clone());
+        registry.register("extra_sends", "Sent once more", self.extra_sends.clone());
+        registry.register("gone", "Callers that left early", self.gone.clone());
+        registry.register(
+            "configuration",
+            "Version in force",
+            self.configuration.clone(),
+        );
+        registry.register("instances", "Live agents", self.instances.clone());
+        registry.register(
+            "store_age_ms",
+            "Store's last answer, ms ago",
+            self.store_age_ms.clone(),
+        );
+        registry.register(
+            "authority_ms",
+            "Leave to grant keys, in ms",
+            self.authority_ms.clone(),
+        );
+        registry.register("gate_busy", "Requests at the gate", self.gate_busy.clone());
+        registry.register(
+            "gate_used_percent",
+            "Capacity in use",
+            self.gate_used_percent.clone(),
+        );
+        registry.register("ranges", "Ranges of keys owned", self.ranges.clone());
+    }
+
+    /// Counts a request's outcome.
+    pub fn count(&self, route: &str, outcome: &str) {
+        let labels = OutcomeLabels {
+            route: route.into(),
+            outcome: outcome.into(),
+        };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Writes all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// If one can't be written down.
+    pub fn to_text(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
+
+impl Default for EdgeMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/kernel/src/logs.rs
+++ b/crates/kernel/src/logs.rs
@@ -33,6 +33,17 @@
     Ok(Logger::try_with_str(levels)?.format(write_line).start()?)
 }
 
+/// Starts logging to standard output at a level such as `info`. Libraries log warnings only.
+///
+/// # Errors
+///
+/// [`LogError::Start`] if the level is not understood or logging runs already.
+pub fn start_on_stdout(level: &str) -> Result<LoggerHandle> {
+    let levels = format!("warn, {OWN_AREAS}={level}");
+    let logger = Logger::try_with_str(levels)?.format(write_line);
+    Ok(logger.log_to_stdout().start()?)
+}
+
 /// Writes one record as a JSON object.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,185 @@
+//! A backend server offered more than it can do in time.
+//!
+//! Requests wait here instead of at the backend server, the most urgent first. One that would not be
+//! done by its deadline is refused at once. Calls that running requests make come before new work,
+//! since a call turned away wastes the run that made it.
+
+use std::collections::BTreeMap;
+
+use jy_types::time::Millis;
+
+/// A request is admitted if its expected end, with the work taken this much longer than its mean, lies
+/// before its deadline.
+const WORK_MARGIN: f64 = 1.3;
+
+/// Share of its mean work that a running request is expected to need at least.
+const LEAST_REST: f64 = 0.25;
+
+/// What is known of a request that wants to run.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WorkTerms {
+    /// Class of urgency; zero is the most urgent.
+    pub priority: u32,
+    /// An answer after this point is late.
+    pub objective: Millis,
+    /// An answer after this point is of no use.
+    pub deadline: Millis,
+    /// Expected work, in milliseconds.
+    pub work_ms: f64,
+}
+
+/// What becomes of a request that arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It waits for its turn.
+    Queued,
+    /// It would not be done in time.
+    Refused {
+        /// When it would be worth another try, in milliseconds from now.
+        retry_ms: u64,
+    },
+}
+
+/// Requests at one backend server and those that wait for it.
+#[derive(Clone, Debug)]
+pub struct WorkQueue {
+    slots: u32,
+    waiting: BTreeMap<u64, WorkTerms>,
+    running: BTreeMap<u64, RunningWork>,
+}
+
+/// A request that runs.
+#[derive(Clone, Copy, Debug)]
+struct RunningWork {
+    started: Millis,
+    work_ms: f64,
+}
+
+impl WorkQueue {
+    /// Makes a queue for a backend server that runs `slots` requests at once.
+    #[must_use]
+    pub fn new(slots: u32) -> Self {
+        Self {
+            slots: slots.max(1),
+            waiting: BTreeMap::new(),
+            running: BTreeMap::new(),
+        }
+    }
+
+    /// Changes the number of requests that run at once.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots.max(1);
+    }
+
+    /// Requests that run.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> u32 {
+        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Takes in a request, or refuses it if those before it leave it no time.
+    pub fn offer(&mut self, now: Millis, ticket: u64, terms: WorkTerms) -> Admission {
+        let rank = rank(now, ticket, &terms);
+        let before: f64 = self
+            .waiting
+            .iter()
+            .filter(|(other, waiting)| self::rank(now, **other, waiting) < rank)
+            .map(|(_, waiting)| waiting.work_ms)
+            .sum();
+        let wait_ms = self.wait_ms(now, before);
+        let end = now.plus((wait_ms + terms.work_ms * WORK_MARGIN) as u64);
+        if wait_ms > 0.0 && end > terms.deadline {
+            let retry_ms = wait_ms as u64;
+            return Admission::Refused { retry_ms };
+        }
+        self.waiting.insert(ticket, terms);
+        Admission::Queued
+    }
+
+    /// Takes the next request that may run, if there is a free slot.
+    pub fn start(&mut self, now: Millis) -> Option<u64> {
+        if self.running() >= self.slots {
+            return None;
+        }
+        let (ticket, terms) = self
+            .waiting
+            .iter()
+            .min_by_key(|(ticket, terms)| rank(now, **ticket, terms))?;
+        let (ticket, work_ms) = (*ticket, terms.work_ms);
+        self.waiting.remove(&ticket);
+        let started = now;
+        self.running
+            .insert(ticket, RunningWork { started, work_ms });
+        Some(ticket)
+    }
+
+    /// Forgets a request, whether it waited or ran.
+    pub fn remove(&mut self, ticket: u64) {
+        self.waiting.remove(&ticket);
+        self.running.remove(&ticket);
+    }
+
+    /// Takes out the waiting requests that can no longer be done in time.
+    pub fn take_hopeless(&mut self, now: Millis) -> Vec<u64> {
+        let is_hopeless = |terms: &WorkTerms| now.plus(terms.work_ms as u64) > terms.deadline;
+        let hopeless: Vec<u64> = self
+            .waiting
+            .iter()
+            .filter(|(_, terms)| is_hopeless(terms))
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in &hopeless {
+            self.waiting.remove(ticket);
+        }
+        hopeless
+    }
+
+    /// Takes out all waiting requests.
+    pub fn take_all(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.waiting).into_keys().collect()
+    }
+
+    /// Expected wait of a request behind everything that waits now, in milliseconds.
+    #[must_use]
+    pub fn full_wait_ms(&self, now: Millis) -> f64 {
+        self.wait_ms(now, self.waiting.values().map(|terms| terms.work_ms).sum())
+    }
+
+    /// Expected wait behind some waiting work, in milliseconds.
+    fn wait_ms(&self, now: Millis, before_ms: f64) -> f64 {
+        let free = f64::from(self.slots) - f64::from(self.running());
+        if free > 0.0 && before_ms <= 0.0 {
+            return 0.0;
+        }
+        let rest: f64 = self.running.values().map(|work| work.rest_ms(now)).sum();
+        let slots = f64::from(self.slots);
+        // A slot comes free when the first of the running requests ends, on the mean after the rest of
+        // one of them divided by their number.
+        let first_free = if free > 0.0 {
+            0.0
+        } else {
+            rest / slots / slots
+        };
+        first_free + before_ms / slots
+    }
+}
+
+impl RunningWork {
+    /// Work that is expected to be left.
+    fn rest_ms(&self, now: Millis) -> f64 {
+        let elapsed = now.since(self.started) as f64;
+        (self.work_ms - elapsed).max(self.work_ms * LEAST_REST)
+    }
+}
+
+/// Order in which requests run: by urgency, those first that can still be on time, by objective.
+fn rank(now: Millis, ticket: u64, terms: &WorkTerms) -> (u32, bool, Millis, u64) {
+    let is_late = now.plus(terms.work_ms as u64) > terms.objective;
+    (terms.priority, is_late, terms.objective, ticket)
+}
--- /dev/null
+++ b/crates/policy/tests/test_admission.rs
@@ -0,0 +1,93 @@
+//! A backend server offered more than it can do in time.
+
+use googletest::prelude::*;
+use jy_policy::admission::Admission;
+use jy_policy::admission::WorkQueue;
+use jy_policy::admission::WorkTerms;
+use jy_types::time::Millis;
+
+/// A request with an objective and a deadline that are far off.
+const LEISURELY: WorkTerms = WorkTerms {
+    priority: 2,
+    objective: Millis(10_000),
+    deadline: Millis(20_000),
+    work_ms: 100.0,
+};
+
+/// A queue of two slots with both taken since the start.
+fn full_queue() -> WorkQueue {
+    let mut queue = WorkQueue::new(2);
+    for ticket in [1, 2] {
+        queue.offer(Millis(0), ticket, LEISURELY);
+        queue.start(Millis(0));
+    }
+    queue
+}
+
+#[gtest]
+fn offer_refuses_what_ends_past_deadline() {
+    let mut queue = full_queue();
+    for ticket in 3..23 {
+        let admission = queue.offer(Millis(0), ticket, LEISURELY);
+        expect_that!(admission, eq(Admission::Queued));
+    }
+    let hasty = WorkTerms {
+        deadline: Millis(500),
+        ..LEISURELY
+    };
+    let admission = queue.offer(Millis(0), 30, hasty);
+    let retry_ms = match admission {
+        Admission::Refused { retry_ms } => retry_ms,
+        Admission::Queued => 0,
+    };
+    expect_that!(retry_ms, ge(900), "twenty requests of 100 ms in two slots");
+    expect_that!(queue.waiting(), eq(20));
+}
+
+#[gtest]
+fn offer_takes_anything_while_slots_are_free() {
+    let mut queue = WorkQueue::new(2);
+    let short = WorkTerms {
+        deadline: Millis(50),
+        ..LEISURELY
+    };
+    expect_that!(queue.offer(Millis(0), 1, short), eq(Admission::Queued));
+}
+
+#[gtest]
+fn start_prefers_urgent_late_to_less_urgent() {
+    let mut queue = full_queue();
+    let late_call = WorkTerms {
+        priority: 1,
+        objective: Millis(10),
+        deadline: Millis(400),
+        work_ms: 15.0,
+    };
+    queue.offer(Millis(0), 3, LEISURELY);
+    queue.offer(Millis(0), 4, late_call);
+    queue.remove(1);
+    expect_that!(queue.start(Millis(50)), some(eq(4)));
+}
+
+#[gtest]
+fn start_prefers_what_can_be_on_time() {
+    let mut queue = full_queue();
+    let lost = WorkTerms {
+        objective: Millis(40),
+        ..LEISURELY
+    };
+    queue.offer(Millis(0), 3, lost);
+    queue.offer(Millis(0), 4, LEISURELY);
+    queue.remove(1);
+    expect_that!(queue.start(Millis(30)), some(eq(4)));
+}
+
+#[gtest]
+fn start_keeps_to_slots() {
+    let mut queue = full_queue();
+    queue.offer(Millis(0), 3, LEISURELY);
+    expect_that!(queue.start(Millis(1)), none());
+    queue.remove(2);
+    expect_that!(queue.start(Millis(2)), some(eq(3)));
+    expect_that!(queue.running(), eq(2));
+}
--- /dev/null
+++ b/crates/ranges/tests/test_table.rs
@@ -0,0 +1,106 @@
+//! The table of key ranges: each key has one owner, and its fence only grows.
+
+use googletest::prelude::*;
+use jy_ranges::table::RangeOwner;
+use jy_ranges::table::RangeTable;
+use jy_types::endpoint::BackendLife;
+use jy_types::endpoint::FreedRange;
+
+/// An owner on an instance of the same name.
+fn owner(name: &str, born: u64) -> RangeOwner {
+    RangeOwner {
+        node: name.into(),
+        life: BackendLife {
+            id: format!("i-{name}").into(),
+            born,
+        },
+    }
+}
+
+/// A table of two owners with equal shares.
+///
+/// # Panics
+///
+/// If the case can't be set up or does not end.
+fn halves() -> RangeTable {
+    let owners = [(owner("a", 1), 6), (owner("b", 1), 6)];
+    RangeTable::new(&owners).expect("two owners")
+}
+
+/// Fences by the first key of their range.
+fn fences(table: &RangeTable) -> Vec<(u16, u64)> {
+    let ranges = table.ranges().iter();
+    ranges.map(|range| (range.first, range.fence)).collect()
+}
+
+#[gtest]
+fn new_divides_by_weight() {
+    let owners = [(owner("a", 1), 6), (owner("b", 1), 18)];
+    let table = RangeTable::new(&owners).expect("two owners");
+    expect_that!(table.width_of(&owner("a", 1)), eq(16_384));
+    expect_that!(table.width_of(&owner("b", 1)), eq(49_152));
+    expect_that!(
+        table.find(16_383).map(|range| &range.owner),
+        some(eq(&owner("a", 1)))
+    );
+    expect_that!(
+        table.find(16_384).map(|range| &range.owner),
+        some(eq(&owner("b", 1)))
+    );
+}
+
+#[gtest]
+fn new_none_without_owners() {
+    expect_that!(RangeTable::new(&[]), none());
+}
+
+#[gtest]
+fn moved_needs_release() {
+    let table = halves().marked(&owner("a", 1), 100, 199, &owner("b", 1));
+    let kept = table.clone().moved(&owner("a", 1), &[], |_| false);
+    expect_that!(
+        kept.find(150).map(|range| &range.owner),
+        some(eq(&owner("a", 1)))
+    );
+    let freed = [FreedRange {
+        first: 100,
+        last: 199,
+        handover: "state".into(),
+    }];
+    let moved = table.moved(&owner("a", 1), &freed, |_| true);
+    let range = moved.find(150).expect("covered");
+    expect_that!(range.owner, eq(&owner("b", 1)));
+    expect_that!(range.fence, gt(1));
+    expect_that!(*range.handover, eq("state"));
+    expect_that!(moved.find(99).map(|range| range.fence), some(eq(1)));
+}
+
+#[gtest]
+fn reassigned_raises_fence_and_drops_handover() {
+    let lost = |owner: &RangeOwner| *owner.node == *"a";
+    let table = halves().reassigned(lost, |_| Some(owner("b", 1)));
+    expect_that!(table.width_of(&owner("b", 1)), eq(65_536));
+    expect_that!(fences(&table), elements_are![eq(&(0, 2)), eq(&(32_768, 1))]);
+    let again = table.reassigned(|owner| *owner.node == *"b", |_| Some(owner("a", 2)));
+    expect_that!(fences(&again), elements_are![eq(&(0, 3))]);
+}
+
+#[gtest]
+fn reassigned_drops_marks_to_the_lost() {
+    let table = halves().marked(&owner("a", 1), 0, 99, &owner("b", 1));
+    let lost = |owner: &RangeOwner| *owner.node == *"b";
+    let next = table.reassigned(lost, |_| Some(owner("a", 1)));
+    expect_that!(
+        next.ranges().iter().all(|range| range.next.is_none()),
+        eq(true)
+    );
+}
+
+#[gtest]
+fn parse_refuses_gaps() {
+    let text = halves().to_text().expect("a table is text");
+    expect_that!(RangeTable::parse(&text), ok(eq(&halves())));
+    let gap = text.replace("\"first\":32768", "\"first\":32769");
+    let error = RangeTable::parse(&gap).expect_err("a key has no owner");
+    expect_that!(error.to_string(), contains_substring("key 32768"));
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod assign;
 pub mod backend;
+pub mod endpoint;
 pub mod finding;
 pub mod key;
 pub mod member;
@@ -12,6 +13,7 @@
 pub mod peer;
 pub mod record;
 pub mod request;
+pub mod routing;
 pub mod status;
 pub mod time;
 pub mod workspace;
