edge, feed, ranges: fewer calls to the store, busy ranges divided sooner

Busy keys that lie close together stayed with one owner: buckets of 32 keys held more than a move could carry, one move at a time, each 2.5 s.

Change: two agents of each zone read the fleet's records from the store, the others from them by the replica that jyagent has, falling back to the store; what operators write is still read by every agent. Buckets of 4 keys, up to four moves at once toward one level, paced by announcements; owners that were not heard of lately count as little used.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -1,6 +1,7 @@
 //! The agent's process: its parts, its listeners, its end.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,9 +13,11 @@
 use futures_util::future::LocalBoxFuture;
 use jy_config::edge;
 use jy_config::edge::EdgeSettings;
+use jy_feed::replica::RecordReplica;
 use jy_http::message::HttpAnswer;
 use jy_http::message::HttpRequest;
 use jy_http::message::header_text;
+use jy_http::pool::ConnectionPool;
 use jy_http::server::HandleFn;
 use jy_http::server::HttpListener;
 use jy_http::server::LimitsFn;
@@ -29,6 +32,7 @@
 use jy_types::time::Millis;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::sleep;
 use uuid::Uuid;
@@ -39,7 +43,9 @@
 use crate::beliefs::FleetBeliefs;
 use crate::feed;
 use crate::feed::BeliefCell;
+use crate::feed::FeedPart;
 use crate::feed::FeedState;
+use crate::feed::RecordFeed;
 use crate::forward;
 use crate::gate::OwnGate;
 use crate::gateway::CallerGateway;
@@ -83,6 +89,8 @@
     member: Rc<OwnMember>,
     metrics: Rc<EdgeMetrics>,
     feed: Rc<watch::Sender<FeedState>>,
+    hurry: Rc<Notify>,
+    replica: Rc<RefCell<RecordReplica>>,
     leaving: Rc<Cell<bool>>,
 }
 
@@ -120,6 +128,7 @@
         let store = StoreClient::new(settings.store);
         let beliefs: Rc<BeliefCell> = Rc::new(watch::Sender::new(Rc::new(FleetBeliefs::default())));
         let metrics = Rc::new(EdgeMetrics::new());
+        let hurry = Rc::new(Notify::new());
         let bounds = settings.bounds;
         let backend: BackendCell = Rc::new(OwnBackend::new(
             Name::clone(&settings.name),
@@ -146,6 +155,7 @@
                 window_ms: bounds.retry_window_ms,
             },
             metrics: Rc::clone(&metrics),
+            hurry: Rc::clone(&hurry),
         }));
         let leaving = Rc::new(Cell::new(false));
         let member = own_member(&settings, &store, &beliefs, &backend, &leaving);
@@ -158,6 +168,8 @@
             member,
             metrics,
             feed: Rc::new(watch::Sender::new(FeedState::default())),
+            hurry,
+            replica: Rc::default(),
             leaving,
         }
     }
@@ -165,9 +177,25 @@
     /// Starts everything that runs beside the listeners.
     fn start(self: &Rc<Self>) {
         let store = StoreClient::new(self.settings.store);
-        let watching = StoreClient::new(self.settings.store);
-        let (beliefs, feed) = (Rc::clone(&self.beliefs), Rc::clone(&self.feed));
-        actix_rt::spawn(feed::run(watching, beliefs, feed));
+        for part in [FeedPart::Operator, FeedPart::Fleet] {
+            let replica = match part {
+                FeedPart::Operator => Rc::default(),
+                FeedPart::Fleet => Rc::clone(&self.replica),
+            };
+            let feed = RecordFeed {
+                node: Name::clone(&self.settings.name),
+                zone: Name::clone(&self.settings.zone),
+                store: StoreClient::new(self.settings.store),
+                part,
+                beliefs: Rc::clone(&self.beliefs),
+                state: Rc::clone(&self.feed),
+                hurry: Rc::clone(&self.hurry),
+                replica,
+                pool: ConnectionPool::new(),
+                avoided: RefCell::default(),
+            };
+            actix_rt::spawn(feed.run());
+        }
         let member = Rc::clone(&self.member);
         actix_rt::spawn(async move { member.run().await });
         let agent = Rc::clone(self);
@@ -180,7 +208,9 @@
             member: Rc::clone(&self.member),
             gate: Rc::clone(&self.gate),
             gateway: Rc::clone(&self.gateway),
+            hurry: Rc::clone(&self.hurry),
             max_hold_ms: self.settings.bounds.max_hold_ms,
+            period_ms: self.settings.bounds.announce_every_ms,
         });
         actix_rt::spawn(async move { keeper.run().await });
     }
@@ -281,6 +311,9 @@
         request: HttpRequest,
         read: Millis,
     ) -> LocalBoxFuture<'static, HttpAnswer> {
+        if request.path() == feed::RELAY_PATH {
+            return self.answer_relay(&request);
+        }
         let id = header_text(&request.headers, headers::REQUEST_ID).map(Name::from);
         let job = id.and_then(|id| forward::decode_job(request, id, read));
         let gate = Rc::clone(&self.gate);
@@ -295,6 +328,25 @@
         })
     }
 
+    /// Answers another agent that asks for news of the fleet.
+    fn answer_relay(&self, request: &HttpRequest) -> LocalBoxFuture<'static, HttpAnswer> {
+        let after = request.target.rsplit_once("after=").map(|(_, after)| after);
+        let after = after
+            .and_then(|after| after.parse().ok())
+            .unwrap_or_default();
+        let (replica, beliefs) = (Rc::clone(&self.replica), Rc::clone(&self.beliefs));
+        let state = Rc::clone(&self.feed);
+        Box::pin(async move {
+            let Some(body) = feed::answer_relay(after, replica, beliefs, state).await else {
+                let reason = "the store is out of reach here";
+                return refusal::rejected(StatusCode::SERVICE_UNAVAILABLE, reason);
+            };
+            let mut answer = HttpAnswer::new(StatusCode::OK, "");
+            answer.body = body.into();
+            answer
+        })
+    }
+
     /// Answers whether the agent takes callers.
     fn answer_ready(&self, request: &HttpRequest) -> HttpAnswer {
         let is_ready = !self.leaving.get() && self.beliefs.borrow().routes.is_some();
--- a/crates/edge/src/beliefs.rs
+++ b/crates/edge/src/beliefs.rs
@@ -14,10 +14,11 @@
 use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
 use jy_types::record::Record;
-use jy_types::record::RecordBatch;
 use jy_types::routing::RouteTable;
 use jy_types::time::Millis;
 
+use crate::feed::FeedPart;
+
 /// Prefix of the product's own records.
 pub const OWN_PREFIX: &str = "jy/";
 /// Prefix of the agents' records.
@@ -32,6 +33,10 @@
 /// An instance whose record lapsed is forgotten after this long, in milliseconds.
 const FORGET_MS: u64 = 120_000;
 
+/// Agents of an availability zone that read the fleet's records from the store: two, so that the loss of
+/// one leaves the others a source.
+const READERS_A_ZONE: usize = 2;
+
 /// An agent's record and what became of it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SeenInstance {
@@ -55,8 +60,10 @@
 /// Everything that was learned from the store.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FleetBeliefs {
-    /// All records up to this revision are taken in.
+    /// All records of agents up to this revision are taken in.
     pub revision: u64,
+    /// All records of operators up to this revision are taken in.
+    pub operator_revision: u64,
     /// The configuration in force.
     pub routes: Option<Rc<RouteTable>>,
     /// Availability zones that are taken out.
@@ -80,31 +87,49 @@
 }
 
 impl FleetBeliefs {
-    /// Takes in changes.
+    /// Revision up to which the records of a part are taken in.
+    #[must_use]
+    pub const fn revision_of(&self, part: FeedPart) -> u64 {
+        match part {
+            FeedPart::Operator => self.operator_revision,
+            FeedPart::Fleet => self.revision,
+        }
+    }
+
+    /// Takes in changes of one part of the records, which is then complete up to a revision.
     #[must_use]
-    pub fn with_changes(mut self, now: Millis, batch: &RecordBatch) -> Self {
-        for record in &batch.records {
+    pub fn with_changes(
+        mut self,
+        now: Millis,
+        part: FeedPart,
+        changed: &[Record],
+        complete_to: u64,
+    ) -> Self {
+        for record in changed {
             self.take(now, record);
         }
-        self.revision = self.revision.max(batch.complete_to);
+        let revision = match part {
+            FeedPart::Operator => &mut self.operator_revision,
+            FeedPart::Fleet => &mut self.revision,
+        };
+        *revision = complete_to.max(*revision);
         self.forget_old(now);
         self
     }
 
-    /// Takes in a full list of the records under the given prefixes: what it lacks is gone.
+    /// Returns the agents of an availability zone that read the fleet's records from the store for all
+    /// others there: the first few by name.
     #[must_use]
-    pub fn with_list(mut self, now: Millis, batch: &RecordBatch) -> Self {
-        let listed: BTreeSet<&str> = batch.records.iter().map(|record| &*record.key).collect();
-        let zones = std::mem::take(&mut self.zones_out);
-        let is_listed = |zone: &Name| listed.iter().any(|key| key.ends_with(&format!("/{zone}")));
-        self.zones_out = zones.into_iter().filter(is_listed).collect();
-        for (node, seen) in &mut self.instances {
-            if !listed.contains(&*instance_key(node)) && seen.lapsed.is_none() {
-                seen.lapsed = Some(now);
-                seen.revision = 0;
-            }
-        }
-        self.with_changes(now, batch)
+    pub fn readers(&self, zone: &str) -> Vec<Rc<InstanceRecord>> {
+        let is_reader = |seen: &&SeenInstance| {
+            *seen.record.zone == *zone && seen.lapsed.is_none() && !seen.record.leaving
+        };
+        self.instances
+            .values()
+            .filter(is_reader)
+            .take(READERS_A_ZONE)
+            .map(|seen| Rc::clone(&seen.record))
+            .collect()
     }
 
     /// Returns the live agents that may run requests of a service.
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -53,7 +53,11 @@
 /// Expected work as a share of the latency objective, before any answer was seen.
 const FIRST_WORK_SHARE: f64 = 0.3;
 /// Offered work counts half after this time, in milliseconds: several requests' work.
-const OFFERED_HALF_LIFE_MS: f64 = 1_500.0;
+const OFFERED_HALF_LIFE_MS: f64 = 1_000.0;
+/// Buckets of keys whose work is counted at most before those with little are dropped.
+const MOST_BUCKETS: usize = 2_048;
+/// Work of a bucket that is little, in milliseconds: a fraction of one request's.
+const LEAST_BUCKET_MS: f64 = 1.0;
 /// A told pace of the machine counts for this long, in milliseconds; it changes many times a second.
 const PACE_AGE_MS: u64 = 300;
 /// When a backend server that takes no work now may take some, in milliseconds: one announcement.
@@ -335,6 +339,11 @@
         if let Some(key) = job.key {
             let bucket = state.buckets.entry(bucket_of(key)).or_default();
             bucket.add(now, work_ms);
+            if state.buckets.len() > MOST_BUCKETS {
+                state
+                    .buckets
+                    .retain(|_, sum| sum.value(now) >= LEAST_BUCKET_MS);
+            }
         }
     }
 
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -28,6 +28,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -67,6 +68,7 @@
     rng: RefCell<SmallRng>,
     journal: RequestJournal,
     metrics: Rc<EdgeMetrics>,
+    hurry: Rc<Notify>,
 }
 
 /// What is needed to make a gateway.
@@ -85,6 +87,8 @@
     pub budget: BudgetTerms,
     /// The agent's metrics.
     pub metrics: Rc<EdgeMetrics>,
+    /// Asks the feed for news at once.
+    pub hurry: Rc<Notify>,
 }
 
 /// A request under way.
@@ -156,6 +160,7 @@
             rng: RefCell::new(SmallRng::from_os_rng()),
             journal: RequestJournal::new(),
             metrics: parts.metrics,
+            hurry: parts.hurry,
         }
     }
 
@@ -458,6 +463,7 @@
 
     /// Waits for a change of the beliefs, as long as the objective can still be met.
     async fn wait_for_move(&self, call: &CallState) {
+        self.hurry.notify_one();
         let mut news = self.beliefs.subscribe();
         let left = call.job.objective.since(clock::now()) as f64;
         let patience = Duration::from_millis((left * MOVE_PATIENCE) as u64);
--- a/crates/edge/src/keeper.rs
+++ b/crates/edge/src/keeper.rs
@@ -17,6 +17,7 @@
 use jy_platform::store::StoreCommit;
 use jy_platform::store::StoreWrite;
 use jy_ranges::plan;
+use jy_ranges::plan::RangeMove;
 use jy_ranges::plan::RangeReceiver;
 use jy_ranges::plan::ReceiverQueue;
 use jy_ranges::table::KeyRange;
@@ -25,6 +26,7 @@
 use jy_types::endpoint::BackendPhase;
 use jy_types::name::Name;
 use jy_types::time::Millis;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::backend::BackendCell;
@@ -47,10 +49,14 @@
 /// The first table is made once the agents have been up this long, in milliseconds: all instances start
 /// within 0.3 s, and their backend servers announce themselves within one and a half.
 const SETTLE_MS: u64 = 2_500;
-/// Time between moves to balance load, in milliseconds: the loads must show what the last one did.
-const BALANCE_MS: u64 = 2_500;
+/// Time between moves to balance load, in periods of announcements: a move takes about one, and the loads
+/// must show what the last one did.
+const BALANCE_PERIODS: f64 = 1.4;
 /// Loads of others that are older are not used, in milliseconds.
 const LOAD_AGE_MS: u64 = 2_000;
+/// Share of the capacity in use of a backend server that was not heard of lately: busy ones are heard of
+/// often.
+const UNHEARD_USED: f64 = 0.4;
 /// Each agent waits this much longer than the one before it with changes that any may make, in
 /// milliseconds: a change reaches all within a few round trips.
 const RANK_DELAY_MS: u64 = 200;
@@ -73,8 +79,12 @@
     pub gate: Rc<OwnGate>,
     /// The agent's gateway, which hears of others' loads.
     pub gateway: Rc<CallerGateway>,
+    /// Asks the feed for news at once.
+    pub hurry: Rc<Notify>,
     /// Longest hold of keys, in milliseconds.
     pub max_hold_ms: u64,
+    /// Time between two announcements of a backend server, in milliseconds.
+    pub period_ms: u64,
 }
 
 /// The keeper.
@@ -195,21 +205,22 @@
     /// Backend servers that may be given keys of a service.
     fn receivers(&self, now: Millis, beliefs: &FleetBeliefs, service: &str) -> Vec<RangeReceiver> {
         let (own_used, _) = self.parts.gate.usage(now);
+        let gateway = &self.parts.gateway;
         beliefs
             .choices(now, service, "")
             .into_iter()
             .filter(|choice| {
-                let gateway = &self.parts.gateway;
                 !gateway.with_endpoints(|table| table.is_passed_over(now, &choice.node))
             })
             .filter_map(|choice| {
                 let seen = beliefs.instances.get(&choice.node)?;
                 let backend = seen.record.serving()?;
                 let used = if choice.node == self.parts.node {
-                    Some(own_used)
+                    own_used
                 } else {
-                    let gateway = &self.parts.gateway;
-                    gateway.with_endpoints(|table| table.used(now, &choice.node, LOAD_AGE_MS))
+                    let told =
+                        gateway.with_endpoints(|table| table.used(now, &choice.node, LOAD_AGE_MS));
+                    told.unwrap_or(UNHEARD_USED)
                 };
                 Some(RangeReceiver {
                     owner: RangeOwner {
@@ -432,16 +443,25 @@
     /// Gives keys to a newcomer, or to one with room when this owner is busy.
     fn balance(&self, view: &KeeperView<'_>) -> Option<TableChange> {
         let own = self.parts.backend.owner()?;
-        if view.now.since(self.balanced.get()) < BALANCE_MS {
+        let wait_ms = self.parts.period_ms as f64 * BALANCE_PERIODS;
+        if (view.now.since(self.balanced.get()) as f64) < wait_ms {
             return None;
         }
         let (used, work) = self.parts.gate.usage(view.now);
-        let step = plan::share_with_newcomer(view.table, &own, view.receivers)
-            .or_else(|| plan::relieve(view.table, &own, used, &work, view.receivers))?;
+        let newcomer = plan::share_with_newcomer(view.table, &own, view.receivers);
+        let moves = newcomer.map_or_else(
+            || plan::relieve(view.table, &own, used, &work, view.receivers),
+            |step| vec![step],
+        );
+        if moves.is_empty() {
+            return None;
+        }
         self.balanced.set(view.now);
-        let table = view.table.clone();
+        let mark = |table: RangeTable, step: &RangeMove| {
+            table.marked(&own, step.first, step.last, &step.to)
+        };
         Some(TableChange {
-            table: table.marked(&own, step.first, step.last, &step.to),
+            table: moves.iter().fold(view.table.clone(), mark),
             gone: Vec::new(),
             why: "balance",
         })
@@ -488,8 +508,12 @@
             change.why,
             change.gone
         );
+        if end == CommitEnd::Conflict {
+            self.balanced.set(Millis::default());
+        }
         if let CommitEnd::Applied { revision } = end {
             self.written.set(revision);
+            self.parts.hurry.notify_one();
         }
         Ok(())
     }
--- a/crates/feed/src/replica.rs
+++ b/crates/feed/src/replica.rs
@@ -1,6 +1,7 @@
 //! The records of the store, complete up to one revision.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use jy_types::name::Name;
 use jy_types::record::Record;
@@ -10,7 +11,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct RecordReplica {
     records: BTreeMap<Name, Record>,
-    by_revision: BTreeMap<u64, Name>,
+    by_revision: BTreeSet<(u64, Name)>,
     complete_to: u64,
 }
 
@@ -54,6 +55,27 @@
         (self, changed)
     }
 
+    /// Takes in a list of all records, complete at its revision, and returns the replica with the
+    /// records that changed. A record that the list lacks and that is older than it was deleted.
+    #[must_use]
+    pub fn with_list(self, list: RecordBatch) -> (Self, Vec<Record>) {
+        let listed: BTreeSet<&Name> = list.records.iter().map(|record| &record.key).collect();
+        let is_gone = |record: &&Record| {
+            record.value.is_some()
+                && record.revision < list.complete_to
+                && !listed.contains(&record.key)
+        };
+        let deletion = |record: &Record| Record {
+            key: record.key.clone(),
+            revision: list.complete_to,
+            value: None,
+        };
+        let gone: Vec<Record> = self.iter().filter(is_gone).map(deletion).collect();
+        let mut batch = list.clone();
+        batch.records.extend(gone);
+        self.with_batch(batch)
+    }
+
     /// Keeps a record if it is newer than what is there.
     fn take(&mut self, record: &Record) -> bool {
         let old = self.records.get(&record.key).map(|old| old.revision);
@@ -61,9 +83,10 @@
             return false;
         }
         if let Some(old) = old {
-            self.by_revision.remove(&old);
+            self.by_revision.remove(&(old, record.key.clone()));
         }
-        self.by_revision.insert(record.revision, record.key.clone());
+        self.by_revision
+            .insert((record.revision, record.key.clone()));
         self.records.insert(record.key.clone(), record.clone());
         true
     }
@@ -73,7 +96,7 @@
     pub fn batch_after(&self, after: u64) -> RecordBatch {
         let records = self
             .by_revision
-            .range(after.saturating_add(1)..)
+            .range((after.saturating_add(1), Name::from(""))..)
             .filter_map(|(_, key)| self.records.get(key))
             .cloned()
             .collect();
--- a/crates/ranges/src/plan.rs
+++ b/crates/ranges/src/plan.rs
@@ -6,8 +6,9 @@
 use crate::table::RangeOwner;
 use crate::table::RangeTable;
 
-/// Keys in one bucket of the load count: narrower than a group of neighbouring busy keys.
-pub const BUCKET_KEYS: u16 = 32;
+/// Keys in one bucket of the load count: far narrower than a group of neighbouring busy keys, so that the
+/// group can be divided among several owners.
+pub const BUCKET_KEYS: u16 = 4;
 
 /// An owner with more of its capacity in use gives keys away. Below it, waiting times at a backend
 /// server with several slots stay short against its work.
@@ -16,6 +17,9 @@
 /// A move pays when the receiver has at least this much less of its capacity in use.
 const LEAST_DIFFERENCE: f64 = 0.2;
 
+/// Most moves that an owner begins at once.
+const MOST_MOVES: usize = 4;
+
 /// Share of the capacity that one move carries at least; less does not pay for the gap it causes.
 const LEAST_MOVE: f64 = 0.04;
 
@@ -26,8 +30,8 @@
     pub owner: RangeOwner,
     /// Requests that it runs at once.
     pub slots: u32,
-    /// Share of its capacity in use, if it is known.
-    pub used: Option<f64>,
+    /// Share of its capacity in use.
+    pub used: f64,
 }
 
 /// A move that an owner wants.
@@ -115,8 +119,8 @@
     })
 }
 
-/// Chooses a range that a busy owner gives to one with room. `work` holds the share of the owner's
-/// capacity that each bucket of [`BUCKET_KEYS`] keys uses.
+/// Chooses ranges that a busy owner gives to those with room, so that all come near the same level.
+/// `work` holds the share of the owner's capacity that each bucket of [`BUCKET_KEYS`] keys uses.
 #[must_use]
 pub fn relieve(
     table: &RangeTable,
@@ -124,21 +128,46 @@
     used: f64,
     work: &BTreeMap<u16, f64>,
     receivers: &[RangeReceiver],
-) -> Option<RangeMove> {
+) -> Vec<RangeMove> {
     if used < BUSY_SHARE || table.owned(owner).any(|range| range.next.is_some()) {
-        return None;
+        return Vec::new();
     }
-    let known = receivers
+    let mut known: Vec<(&RangeReceiver, f64)> = receivers
         .iter()
         .filter(|receiver| receiver.owner != *owner)
-        .filter_map(|receiver| Some((receiver, receiver.used?)));
-    let (receiver, room) = known.min_by(|(_, one), (_, other)| one.total_cmp(other))?;
-    if used - room < LEAST_DIFFERENCE {
+        .map(|receiver| (receiver, receiver.used))
+        .filter(|(_, room)| used - room >= LEAST_DIFFERENCE)
+        .collect();
+    known.sort_by(|(_, one), (_, other)| one.total_cmp(other));
+    known.truncate(MOST_MOVES);
+    let sum: f64 = known.iter().map(|(_, room)| room).sum();
+    let level = (used + sum) / (known.len() + 1) as f64;
+    let mut left = table.clone();
+    let mut moves = Vec::new();
+    for (receiver, room) in known {
+        let Some(step) = part_of(&left, owner, work, level - room, receiver) else {
+            continue;
+        };
+        left = left.marked(owner, step.first, step.last, &step.to);
+        moves.push(step);
+    }
+    moves
+}
+
+/// Chooses a part of an owner's unmarked ranges that uses about `wanted` of its capacity.
+fn part_of(
+    table: &RangeTable,
+    owner: &RangeOwner,
+    work: &BTreeMap<u16, f64>,
+    wanted: f64,
+    receiver: &RangeReceiver,
+) -> Option<RangeMove> {
+    if wanted < LEAST_MOVE {
         return None;
     }
-    let wanted = (used - room) / 2.0;
     let (first, last, moved) = table
         .owned(owner)
+        .filter(|range| range.next.is_none())
         .flat_map(|range| {
             [
                 from_start(range, work, wanted),
@@ -146,11 +175,9 @@
             ]
         })
         .flatten()
-        .min_by(|one, other| (one.2 - wanted).abs().total_cmp(&(other.2 - wanted).abs()))?;
-    if moved < LEAST_MOVE || moved > used - room {
-        return None;
-    }
-    Some(RangeMove {
+        .min_by(|one, other| one.2.total_cmp(&other.2))?;
+    // More than twice the wanted part would only move the trouble.
+    (moved <= wanted * 2.0).then(|| RangeMove {
         first,
         last,
         to: receiver.owner.clone(),
