ranges, edge: fewer moves of keys; kernel: logs that never block; soak: real processes

Change: an owner gives keys away only when it is offered over 1.1 of its capacity, three periods of announcements apart; an owner that can't be reached is not asked again at once. Logs go through a thread with a bounded queue (test_bounded, with a reader that stalls); the gate writes a line for each request that it does not answer, with what decided it. jysoak runs nine agents as processes over stand-ins that speak the platform's protocol.

--- a/crates/config/src/edge.rs
+++ b/crates/config/src/edge.rs
@@ -41,7 +41,7 @@
     /// Time between two announcements of a backend server, in milliseconds.
     pub announce_every_ms: u64,
     /// Longest hold of keys that a backend server takes, in milliseconds.
-    pub max_hold_ms: u64,
+    pub longest_grant_ms: u64,
     /// Time from SIGTERM to SIGKILL, in milliseconds.
     pub grace_ms: u64,
     /// Extra sends as a share of a service's requests.
@@ -143,7 +143,7 @@
     let period = reader::whole(1, PERIOD_LIMIT_MS);
     let mut object = ObjectReader::new("\"bounds\"", node, log)?;
     let announce_every = object.required("announce_every_ms", log, &period);
-    let max_hold = object.required("max_hold_ms", log, &period);
+    let max_hold = object.required("longest_grant_ms", log, &period);
     let grace = object.required("grace_s", log, reader::number(0.1, 600.0));
     let ratio = object.required("retry_ratio", log, reader::number(0.0, 10.0));
     let slack = object.required("retry_slack", log, reader::number(0.0, SLACK_LIMIT));
@@ -151,20 +151,20 @@
     object.finish(log);
     let bounds = EdgeBounds {
         announce_every_ms: announce_every?,
-        max_hold_ms: max_hold?,
+        longest_grant_ms: max_hold?,
         grace_ms: (grace? * 1_000.0) as u64,
         retry_ratio: ratio?,
         retry_slack: slack?,
         retry_window_ms: (window? * 1_000.0) as u64,
     };
     let least = bounds.announce_every_ms * ANNOUNCEMENTS_PER_HOLD;
-    if bounds.max_hold_ms < least {
+    if bounds.longest_grant_ms < least {
         let message = format!(
-            "\"max_hold_ms\" {} holds fewer than {ANNOUNCEMENTS_PER_HOLD} announcements, one each \
+            "\"longest_grant_ms\" {} holds fewer than {ANNOUNCEMENTS_PER_HOLD} announcements, one each \
              \"announce_every_ms\" {}",
-            bounds.max_hold_ms, bounds.announce_every_ms
+            bounds.longest_grant_ms, bounds.announce_every_ms
         );
-        let hint = format!("set \"max_hold_ms\" to {least} or more");
+        let hint = format!("set \"longest_grant_ms\" to {least} or more");
         log.add(&node.place, message, hint);
     }
     Some(bounds)
--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -133,7 +133,7 @@
         let backend: BackendCell = Rc::new(OwnBackend::new(
             Name::clone(&settings.name),
             now,
-            bounds.max_hold_ms,
+            bounds.longest_grant_ms,
             bounds.announce_every_ms,
         ));
         let gate = Rc::new(OwnGate::new(
@@ -195,7 +195,7 @@
             gate: Rc::clone(&self.gate),
             gateway: Rc::clone(&self.gateway),
             feed,
-            max_hold_ms: self.settings.bounds.max_hold_ms,
+            longest_grant_ms: self.settings.bounds.longest_grant_ms,
             period_ms: self.settings.bounds.announce_every_ms,
         });
         actix_rt::spawn(async move { keeper.run().await });
--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -66,7 +66,7 @@
     node: Name,
     state: RefCell<Option<BackendState>>,
     began: Millis,
-    max_hold_ms: u64,
+    longest_grant_ms: u64,
     period_ms: u64,
     is_closed: Cell<bool>,
     news: watch::Sender<u64>,
@@ -75,12 +75,12 @@
 impl OwnBackend {
     /// Makes the state of an agent that has heard nothing yet.
     #[must_use]
-    pub fn new(node: Name, began: Millis, max_hold_ms: u64, period_ms: u64) -> Self {
+    pub fn new(node: Name, began: Millis, longest_grant_ms: u64, period_ms: u64) -> Self {
         Self {
             node,
             state: RefCell::new(None),
             began,
-            max_hold_ms,
+            longest_grant_ms,
             period_ms,
             is_closed: Cell::new(false),
             news: watch::Sender::new(0),
@@ -177,7 +177,7 @@
             refuses: false,
             ended: false,
             granted: Vec::new(),
-            held_until: now.plus(self.max_hold_ms),
+            held_until: now.plus(self.longest_grant_ms),
             freed: Vec::new(),
         });
         state.freed.extend(announced.freed.iter().cloned());
@@ -191,7 +191,7 @@
         let reply = ranges.and_then(|table| self.grant(now, table, &owner, authority));
         if let Some(reply) = &reply {
             state.granted = reply.ranges.iter().map(held).collect();
-            let hold = (reply.hold_ms as f64 * SLOW_CLOCK).ceil() as u64;
+            let hold = (reply.grant_ms as f64 * SLOW_CLOCK).ceil() as u64;
             state.held_until = now.plus(hold);
         }
         drop(slot);
@@ -208,9 +208,9 @@
         authority: Millis,
     ) -> Option<GrantReply> {
         let left = authority.since(now.plus(AUTHORITY_MARGIN_MS));
-        let most = (self.period_ms * HOLD_ANNOUNCEMENTS).min(self.max_hold_ms);
-        let hold_ms = ((left as f64 / SLOW_CLOCK) as u64).min(most);
-        if hold_ms < self.period_ms {
+        let most = (self.period_ms * HOLD_ANNOUNCEMENTS).min(self.longest_grant_ms);
+        let grant_ms = ((left as f64 / SLOW_CLOCK) as u64).min(most);
+        if grant_ms < self.period_ms {
             return None;
         }
         let keeps = |range: &&KeyRange| range.next.is_none();
@@ -221,7 +221,7 @@
             handover: Name::clone(&range.handover),
         };
         let ranges = table.owned(owner).filter(keeps).map(granted).collect();
-        Some(GrantReply { ranges, hold_ms })
+        Some(GrantReply { ranges, grant_ms })
     }
 
     /// Takes in that the backend server ends.
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -140,6 +140,20 @@
     }
 }
 
+impl GateEnd {
+    /// How it ended, for the log.
+    #[must_use]
+    pub fn text(&self) -> String {
+        match self {
+            Self::Answered(answer) => format!("answered status={}", answer.status.as_u16()),
+            Self::NotRun { cause, retry_ms } => {
+                format!("not-run cause={} retry_ms={retry_ms}", cause.name())
+            }
+            Self::Unknown { reason } => format!("unknown reason={reason:?}"),
+        }
+    }
+}
+
 impl GateReport {
     /// Makes a report of a request that was not run.
     #[must_use]
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -41,6 +41,7 @@
 use crate::forward::GateJob;
 use crate::forward::GateReport;
 use crate::forward::NotRunCause;
+use crate::journal::RequestJournal;
 use crate::metrics::EdgeMetrics;
 
 /// Longest wait for a connection to the backend server beside the agent, in milliseconds.
@@ -114,6 +115,7 @@
     pool: ConnectionPool,
     state: RefCell<GateState>,
     metrics: Rc<EdgeMetrics>,
+    journal: RequestJournal,
 }
 
 /// Ends a request's place in the queue when its handling ends, however it does.
@@ -169,6 +171,7 @@
             pool: ConnectionPool::new(),
             state: RefCell::new(state),
             metrics,
+            journal: RequestJournal::new(),
         }
     }
 
@@ -179,13 +182,53 @@
 
     /// Serves one request, or says why not.
     pub async fn serve(self: &Rc<Self>, job: GateJob) -> GateReport {
+        let began = clock::now();
+        let id = Name::clone(&job.id);
+        let (key, deadline) = (job.key, job.deadline);
         let end = self.serve_end(job).await;
+        let now = clock::now();
+        let load = self.load(now);
+        if !matches!(end, GateEnd::Answered(_)) {
+            self.journal.line(now, false, || {
+                format!(
+                    "id={id} at=gate end={} key={key:?} waited_ms={} left_ms={} busy={} slots={} \
+                     used_percent={} {}",
+                    end.text(),
+                    now.since(began),
+                    deadline.since(now),
+                    load.busy,
+                    load.slots,
+                    load.used_percent,
+                    self.backend_text(now),
+                )
+            });
+        }
         GateReport {
             end,
-            load: Some(self.load(clock::now())),
+            load: Some(load),
         }
     }
 
+    /// What is known of the backend server, for the log.
+    fn backend_text(&self, now: Millis) -> String {
+        self.backend.read(|backend| {
+            backend.map_or_else(
+                || "backend=unheard".into(),
+                |backend| {
+                    format!(
+                        "backend={} state={:?} refuses={} ended={} heard_ms_ago={} hold_left_ms={}",
+                        backend.announced.life.id,
+                        backend.announced.phase,
+                        backend.refuses,
+                        backend.ended,
+                        now.since(backend.heard),
+                        backend.held_until.since(now),
+                    )
+                },
+            )
+        })
+    }
+
     /// Serves one request.
     async fn serve_end(self: &Rc<Self>, job: GateJob) -> GateEnd {
         let refuse = |cause, retry_ms| GateEnd::NotRun { cause, retry_ms };
@@ -482,7 +525,7 @@
         };
         match headers::meaning(&answer) {
             AnswerMeaning::Ran => {
-                self.note_work(now, rule, now.since(sent) as f64);
+                self.note_work(rule, now.since(sent) as f64);
                 let mut answer = answer;
                 strip_connection_headers(&mut answer.headers);
                 GateEnd::Answered(answer)
@@ -521,7 +564,7 @@
     }
 
     /// Takes note of how long a request took.
-    fn note_work(&self, now: Millis, rule: &RouteRule, elapsed_ms: f64) {
+    fn note_work(&self, rule: &RouteRule, elapsed_ms: f64) {
         let mut state = self.state.borrow_mut();
         let name = Name::clone(&rule.name);
         state.work.entry(name).or_default().observe(elapsed_ms);
@@ -529,7 +572,6 @@
         state.pace.observe(elapsed_ms / objective);
         drop(state);
         self.metrics.backend_ms.observe(elapsed_ms);
-        let _ = now;
     }
 
     /// Load as it is told to gateways.
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -458,6 +458,8 @@
         let backend = seen.record.backend.as_ref();
         let is_there = backend.is_some_and(|backend| backend.life == owner.life);
         let is_out = seen.lapsed.is_some() && beliefs.zones_out.contains(&seen.record.zone);
+        let endpoints = self.endpoints.borrow();
+        let is_out = is_out || endpoints.is_passed_over(clock::now(), &owner.node);
         let is_asked = is_there && !is_out && !call.tried.contains(&owner.node);
         is_asked.then(|| Name::clone(&owner.node))
     }
--- a/crates/edge/src/keeper.rs
+++ b/crates/edge/src/keeper.rs
@@ -55,9 +55,9 @@
 /// The first table is made once the agents have been up this long, in milliseconds: all instances start
 /// within 0.3 s, and their backend servers announce themselves within one and a half.
 const SETTLE_MS: u64 = 2_500;
-/// Time between moves to balance load, in periods of announcements: a move takes about one, and the loads
+/// Time between moves to balance load, in periods of announcements: a move takes up to two, and the loads
 /// must show what the last one did.
-const BALANCE_PERIODS: f64 = 1.4;
+const BALANCE_PERIODS: f64 = 3.0;
 /// Loads of others that are older are not used, in milliseconds.
 const LOAD_AGE_MS: u64 = 2_000;
 /// Share of the capacity in use of a backend server that was not heard of lately: busy ones are heard of
@@ -88,7 +88,7 @@
     /// The feed of the fleet's records.
     pub feed: Rc<RecordFeed>,
     /// Longest hold of keys, in milliseconds.
-    pub max_hold_ms: u64,
+    pub longest_grant_ms: u64,
     /// Time between two announcements of a backend server, in milliseconds.
     pub period_ms: u64,
 }
@@ -406,7 +406,7 @@
     fn leave_unseen(&self, view: &KeeperView<'_>, others: &[RangeReceiver]) -> Option<TableChange> {
         let hold_over = self
             .began
-            .plus(self.parts.max_hold_ms + AUTHORITY_MARGIN_MS);
+            .plus(self.parts.longest_grant_ms + AUTHORITY_MARGIN_MS);
         if view.now < hold_over {
             return None;
         }
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -4,6 +4,7 @@
 //! `step(state, now, event) -> (state, actions)` with no I/O and no clock of its own, so that a
 //! recorded trace replays it.
 
+pub mod bounded;
 pub mod clock;
 pub mod logs;
 pub mod registry;
--- a/crates/kernel/src/logs.rs
+++ b/crates/kernel/src/logs.rs
@@ -9,6 +9,8 @@
 use log::Record;
 use thiserror::Error;
 
+use crate::bounded::BoundedWriter;
+
 /// Result of this module.
 pub type Result<T> = std::result::Result<T, LogError>;
 
@@ -18,6 +20,9 @@
     /// The level or the output was refused.
     #[error("logging did not start: {0}; use a level such as info or warn")]
     Start(#[from] FlexiLoggerError),
+    /// The thread that writes could not be started.
+    #[error("logging did not start: {0}; are there too many threads?")]
+    Thread(std::io::Error),
 }
 
 /// Prefix of the names of the product's own areas.
@@ -33,15 +38,18 @@
     Ok(Logger::try_with_str(levels)?.format(write_line).start()?)
 }
 
-/// Starts logging to standard output at a level such as `info`. Libraries log warnings only.
+/// Starts logging to standard output at a level such as `info`, without ever blocking on it. Libraries log
+/// warnings only.
 ///
 /// # Errors
 ///
-/// [`LogError::Start`] if the level is not understood or logging runs already.
+/// [`LogError::Start`] if the level is not understood or logging runs already, [`LogError::Thread`] if no
+/// thread can be started.
 pub fn start_on_stdout(level: &str) -> Result<LoggerHandle> {
     let levels = format!("warn, {OWN_AREAS}={level}");
-    let logger = Logger::try_with_str(levels)?.format(write_line);
-    Ok(logger.log_to_stdout().start()?)
+    let writer = BoundedWriter::new(Box::new(std::io::stdout())).map_err(LogError::Thread)?;
+    let logger = Logger::try_with_str(levels)?;
+    Ok(logger.log_to_writer(Box::new(writer)).start()?)
 }
 
 /// Writes one record as a JSON object.
@@ -49,7 +57,7 @@
 /// # Errors
 ///
 /// What the output says.
-fn write_line(
+pub(crate) fn write_line(
     output: &mut dyn Write,
     now: &mut DeferredNow,
     record: &Record<'_>,
--- a/crates/ranges/src/plan.rs
+++ b/crates/ranges/src/plan.rs
@@ -10,11 +10,13 @@
 /// group can be divided among several owners.
 pub const BUCKET_KEYS: u16 = 4;
 
-/// An owner with more of its capacity in use gives keys away. Below it, waiting times at a backend
-/// server with several slots stay short against its work.
-const BUSY_SHARE: f64 = 0.75;
+/// An owner that is offered more than this share of its capacity gives keys away. Below it, a move's gap,
+/// in which nobody serves the keys, costs callers more than the wait at a full backend server: on the
+/// grown deployments (docs/measurements/platform.md).
+const BUSY_SHARE: f64 = 1.1;
 
-/// A move pays when the receiver has at least this much less of its capacity in use.
+/// A move pays when the receiver has at least this much less of its capacity in use; measured on the same
+/// page.
 const LEAST_DIFFERENCE: f64 = 0.4;
 
 /// Most moves that an owner begins at once.
--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,135 @@
+//! Callers: each keeps its connection to one agent for as long as that works, and checks every answer.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::Method;
+use jy_http::message::HttpAnswer;
+use jy_http::message::HttpRequest;
+use jy_http::message::header_text;
+use jy_http::pool::ConnectionPool;
+use jy_http::pool::SendTerms;
+use jy_platform_standins::ledger::RunLedger;
+use jy_types::name::Name;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::time::sleep;
+
+use crate::fleet::HOST;
+
+/// Time that a caller waits, in milliseconds.
+const PATIENCE_MS: u64 = 1_000;
+/// Time between two requests of a caller, in milliseconds.
+const PAUSE_MS: u64 = 30;
+/// Statuses that say that a request has not run and will not run.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// What callers saw since it was last taken.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CallerTally {
+    /// Requests that were answered with success.
+    pub served: u64,
+    /// Requests that were not.
+    pub failed: u64,
+    /// Successes of the route of reads that another service ran than the one in force.
+    pub outdated: u64,
+}
+
+/// What all callers share.
+pub struct CallerBoard {
+    /// What they saw.
+    pub tally: Cell<CallerTally>,
+    /// The service in force for the route of reads.
+    pub reads: Cell<&'static str>,
+    /// Whether they stop.
+    pub is_over: Cell<bool>,
+    ledger: Rc<RunLedger>,
+}
+
+impl CallerBoard {
+    /// Makes a board without entries.
+    #[must_use]
+    pub fn new(ledger: Rc<RunLedger>) -> Self {
+        Self {
+            tally: Cell::default(),
+            reads: Cell::new("reads"),
+            is_over: Cell::new(false),
+            ledger,
+        }
+    }
+
+    /// Sends requests to one agent until the run is over.
+    pub async fn call(self: Rc<Self>, to: SocketAddr, seed: u64) {
+        let pool = ConnectionPool::new();
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut number = 0_u64;
+        while !self.is_over.get() {
+            number += 1;
+            let id: Name = format!("{seed:x}-{number:x}").into();
+            self.send(&pool, to, &id, &mut rng).await;
+            sleep(Duration::from_millis(PAUSE_MS)).await;
+        }
+    }
+
+    /// Sends one request and checks its answer.
+    async fn send(&self, pool: &ConnectionPool, to: SocketAddr, id: &Name, rng: &mut StdRng) {
+        let kind = rng.random_range(0..3);
+        let (method, path) = match kind {
+            0 => (Method::GET, "/keyed/x"),
+            1 => (Method::POST, "/orders/x"),
+            _ => (Method::GET, "/reads/x"),
+        };
+        let is_idempotent = method == Method::GET;
+        let request = HttpRequest::new(method, path)
+            .with_header("host", HOST)
+            .with_header("x-request-id", id)
+            .with_header("x-deadline-ms", &PATIENCE_MS.to_string())
+            .with_header("x-shard-key", &rng.random::<u16>().to_string());
+        let terms = SendTerms {
+            connect_ms: PATIENCE_MS,
+            answer_ms: PATIENCE_MS,
+            rest_ms: PATIENCE_MS * 10,
+        };
+        let mut tally = CallerTally::default();
+        match pool.send(to, &request, None, terms).await {
+            Ok(answer) if answer.status.is_success() => {
+                tally.served = 1;
+                self.check_success(id, &answer);
+                let seal = header_text(&answer.headers, "x-response-seal").unwrap_or_default();
+                let in_force = format!("i-{}-", self.reads.get());
+                tally.outdated = u64::from(kind == 2 && !seal.starts_with(&in_force));
+            }
+            Ok(answer) => {
+                tally.failed = 1;
+                if !is_idempotent && NOT_RUN.contains(&answer.status.as_u16()) {
+                    self.ledger.denied(id);
+                }
+                if answer.status.as_u16() == 404 {
+                    self.ledger
+                        .violation(format!("{id} got 404, every version has its route"));
+                }
+            }
+            Err(_) => tally.failed = 1,
+        }
+        let sum = self.tally.get();
+        self.tally.set(CallerTally {
+            served: sum.served + tally.served,
+            failed: sum.failed + tally.failed,
+            outdated: sum.outdated + tally.outdated,
+        });
+    }
+
+    /// Checks that a success is the whole answer to this request.
+    fn check_success(&self, id: &Name, answer: &HttpAnswer) {
+        let expected = format!("whole answer to {id}");
+        let has_seal = answer.headers.contains_key("x-response-seal");
+        if answer.body != expected.as_bytes() || !has_seal {
+            let body = String::from_utf8_lossy(&answer.body).into_owned();
+            self.ledger
+                .violation(format!("{id} got the answer {body:?}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,89 @@
+//! `jysoak`: runs the fault soak by seeds.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anyhow::Context;
+use anyhow::Result;
+use getopts::Options;
+use jy_soak::run::run;
+
+/// First lines of the help text.
+const USAGE: &str = "usage: jysoak [--seed N] [--count N] [--seconds N] [--keep FOLDER]
+
+Runs jyedge, which must lie beside this program, as nine processes over stand-ins, with the faults of each
+seed. Prints a line a seed; exits with 1 if a promise was broken. Logs of the agents stay in FOLDER.
+
+example: jysoak --seed 1 --count 50 --seconds 12";
+
+fn main() -> ExitCode {
+    match soak() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("jysoak: {error:#}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Runs the seeds that the command line names; true if no promise was broken.
+///
+/// # Errors
+///
+/// What is wrong, with a hint.
+fn soak() -> Result<bool> {
+    let mut options = Options::new();
+    options.optopt("", "seed", "first seed (1)", "N");
+    options.optopt("", "count", "number of seeds (1)", "N");
+    options.optopt("", "seconds", "length of the faults (12)", "N");
+    options.optopt("", "keep", "folder for settings and logs", "FOLDER");
+    options.optflag("h", "help", "print this help");
+    let matches = options
+        .parse(std::env::args().skip(1))
+        .context("see jysoak --help")?;
+    if matches.opt_present("help") {
+        print!("{}", options.usage(USAGE));
+        return Ok(true);
+    }
+    let number = |name: &str, standard: u64| -> Result<u64> {
+        let text = matches.opt_str(name);
+        text.map_or(Ok(standard), |text| {
+            text.parse()
+                .with_context(|| format!("--{name} {text:?} is not a number"))
+        })
+    };
+    let (seed, count, seconds) = (
+        number("seed", 1)?,
+        number("count", 1)?,
+        number("seconds", 12)?,
+    );
+    let own = std::env::current_exe().context("could not find this program's folder")?;
+    let agent = own.with_file_name("jyedge");
+    let keep = matches
+        .opt_str("keep")
+        .map_or_else(std::env::temp_dir, PathBuf::from);
+    let mut is_kept = true;
+    for seed in seed..seed + count {
+        let folder = keep.join(format!("jysoak-{}-{seed}", std::process::id()));
+        let running = run(&agent, &folder, seed, seconds * 1_000);
+        let report = actix_rt::System::new().block_on(running)?;
+        println!(
+            "seed {seed}: served {}, failed {}, recovered in {} ms, {} broken",
+            report.served,
+            report.failed,
+            report.recovered_ms,
+            report.violations.len()
+        );
+        for violation in &report.violations {
+            println!("  {violation}");
+        }
+        if report.violations.is_empty() {
+            std::fs::remove_dir_all(&folder)?;
+        } else {
+            println!("  logs: {}", folder.display());
+            is_kept = false;
+        }
+    }
+    Ok(is_kept)
+}
--- a/crates/types/src/endpoint.rs
+++ b/crates/types/src/endpoint.rs
@@ -92,7 +92,7 @@
     /// All keys that it is to hold.
     pub ranges: Vec<GrantedRange>,
     /// How long it holds them, in milliseconds from the sending of its announcement.
-    pub hold_ms: u64,
+    pub grant_ms: u64,
 }
 
 /// What an agent's record in the store says of the backend server beside it.
