edge, policy, soak: one job a file; the platform's words leave the soak

Change: what a backend server's answer means stands in edge::dispatch, the count of offered work in policy::offered with its own tests, records and headers of operators and callers in platform/standins. No behaviour changes.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -7,22 +7,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jy_http::client::AnswerCheck;
-use jy_http::client::ExchangeError;
-use jy_http::message::HttpAnswer;
-use jy_http::message::strip_connection_headers;
 use jy_http::pool::ConnectionPool;
-use jy_http::pool::SendTerms;
 use jy_kernel::clock;
-use jy_platform::headers;
-use jy_platform::headers::AnswerMeaning;
-use jy_platform::headers::DispatchTerms;
 use jy_policy::admission::Admission;
 use jy_policy::admission::WorkQueue;
 use jy_policy::admission::WorkTerms;
 use jy_policy::choice::GateLoad;
 use jy_policy::choice::UNKNOWN_PACE;
 use jy_policy::cold::ColdLimit;
+use jy_policy::offered::OfferedWork;
 use jy_policy::pace::PaceMean;
 use jy_ranges::plan::bucket_of;
 use jy_types::endpoint::BackendLife;
@@ -44,81 +37,41 @@
 use crate::journal::RequestJournal;
 use crate::metrics::EdgeMetrics;
 
-/// Longest wait for a connection to the backend server beside the agent, in milliseconds.
-const CONNECT_MS: u64 = 250;
-/// Connections rest at most this long before an idempotent request, in milliseconds.
-const REST_MS: u64 = 4_000;
-/// Connections rest at most this long before any other request, in milliseconds: one that the backend
-/// server closes at the same moment leaves the outcome unknown.
-const SHORT_REST_MS: u64 = 200;
 /// Expected work as a share of the latency objective, before any answer was seen.
 const FIRST_WORK_SHARE: f64 = 0.3;
-/// Offered work counts half after this time, in milliseconds: several requests' work.
-const OFFERED_HALF_LIFE_MS: f64 = 1_000.0;
-/// Buckets of keys whose work is counted at most before those with little are dropped.
-const MOST_BUCKETS: usize = 2_048;
-/// Work of a bucket that is little, in milliseconds: a fraction of one request's.
-const LEAST_BUCKET_MS: f64 = 1.0;
 /// Share of the time left for which a request waits for its turn at most: a caller that is refused then can
 /// still come back in time.
 const QUEUE_PATIENCE: f64 = 0.6;
 /// A told pace of the machine counts for this long, in milliseconds; it changes many times a second.
 const PACE_AGE_MS: u64 = 300;
 /// When a backend server that takes no work now may take some, in milliseconds: one announcement.
-const UNAVAILABLE_RETRY_MS: u64 = 300;
+pub(crate) const UNAVAILABLE_RETRY_MS: u64 = 300;
 /// Shortest time left with which a request is still sent to the backend server, in milliseconds.
 const LEAST_LEFT_MS: u64 = 5;
 
-/// Work that was offered lately, fading with time.
-#[derive(Clone, Copy, Debug, Default)]
-struct FadingSum {
-    sum: f64,
-    at: Millis,
-}
-
-impl FadingSum {
-    /// The sum as it counts now.
-    fn value(&self, now: Millis) -> f64 {
-        let age = now.since(self.at) as f64;
-        self.sum * 0.5_f64.powf(age / OFFERED_HALF_LIFE_MS)
-    }
-
-    /// Adds to the sum.
-    fn add(&mut self, now: Millis, amount: f64) {
-        self.sum = self.value(now) + amount;
-        self.at = now;
-    }
-
-    /// The rate that the sum stands for, in units a millisecond.
-    fn rate(&self, now: Millis) -> f64 {
-        self.value(now) * std::f64::consts::LN_2 / OFFERED_HALF_LIFE_MS
-    }
-}
-
 /// State of the gate.
-struct GateState {
-    queue: WorkQueue,
-    cold: ColdLimit,
-    work: BTreeMap<Name, PaceMean>,
-    pace: PaceMean,
-    machine_pace: (Millis, u32),
-    turns: BTreeMap<u64, oneshot::Sender<()>>,
-    offered: FadingSum,
-    buckets: BTreeMap<u16, FadingSum>,
-    next_ticket: u64,
-    life: Option<BackendLife>,
+pub(crate) struct GateState {
+    pub(crate) queue: WorkQueue,
+    pub(crate) cold: ColdLimit,
+    pub(crate) work: BTreeMap<Name, PaceMean>,
+    pub(crate) pace: PaceMean,
+    pub(crate) machine_pace: (Millis, u32),
+    pub(crate) turns: BTreeMap<u64, oneshot::Sender<()>>,
+    pub(crate) offered: OfferedWork,
+    pub(crate) next_ticket: u64,
+    pub(crate) life: Option<BackendLife>,
 }
 
 /// The gate.
 pub struct OwnGate {
-    zone: Name,
-    address: Cell<SocketAddr>,
-    backend: BackendCell,
-    beliefs: Rc<BeliefCell>,
-    pool: ConnectionPool,
-    state: RefCell<GateState>,
-    metrics: Rc<EdgeMetrics>,
-    journal: RequestJournal,
+    pub(crate) zone: Name,
+    pub(crate) address: Cell<SocketAddr>,
+    pub(crate) backend: BackendCell,
+    pub(crate) beliefs: Rc<BeliefCell>,
+    pub(crate) pool: ConnectionPool,
+    pub(crate) state: RefCell<GateState>,
+    pub(crate) metrics: Rc<EdgeMetrics>,
+    pub(crate) journal: RequestJournal,
 }
 
 /// Ends a request's place in the queue when its handling ends, however it does.
@@ -138,12 +91,6 @@
     }
 }
 
-/// Where a request is sent.
-struct DispatchTarget {
-    life: BackendLife,
-    address: SocketAddr,
-}
-
 impl OwnGate {
     /// Makes a gate to the backend server at `address`.
     #[must_use]
@@ -161,8 +108,7 @@
             pace: PaceMean::new(),
             machine_pace: (Millis::default(), 100),
             turns: BTreeMap::new(),
-            offered: FadingSum::default(),
-            buckets: BTreeMap::new(),
+            offered: OfferedWork::new(),
             next_ticket: 0,
             life: None,
         };
@@ -244,7 +190,10 @@
         };
         self.follow_backend(now, &service);
         let work_ms = self.expected_work_ms(&rule);
-        self.note_offered(now, &job, work_ms);
+        {
+            let mut state = self.state.borrow_mut();
+            state.offered.add(now, job.key.map(bucket_of), work_ms);
+        }
         let terms = WorkTerms {
             priority: rule.priority,
             objective: job.objective,
@@ -363,7 +312,7 @@
                 state.life = Some(backend.announced.life.clone());
                 state.work.clear();
                 state.pace = PaceMean::new();
-                state.buckets.clear();
+                state.offered = OfferedWork::new();
             }
             state.queue.set_slots(backend.announced.slots);
             state.cold.set_rate(service.cold_per_s);
@@ -380,21 +329,6 @@
         mean.map_or(first, |mean| mean.mean_ms(first))
     }
 
-    /// Counts work that was offered, whether or not it is taken.
-    fn note_offered(&self, now: Millis, job: &GateJob, work_ms: f64) {
-        let mut state = self.state.borrow_mut();
-        state.offered.add(now, work_ms);
-        if let Some(key) = job.key {
-            let bucket = state.buckets.entry(bucket_of(key)).or_default();
-            bucket.add(now, work_ms);
-            if state.buckets.len() > MOST_BUCKETS {
-                state
-                    .buckets
-                    .retain(|_, sum| sum.value(now) >= LEAST_BUCKET_MS);
-            }
-        }
-    }
-
     /// Puts a request into the queue.
     ///
     /// # Errors
@@ -457,128 +391,6 @@
         });
     }
 
-    /// Sends a request to the backend server.
-    async fn dispatch(&self, job: &GateJob, rule: &RouteRule) -> GateEnd {
-        let sent = clock::now();
-        let Some(target) = self.target() else {
-            return GateEnd::NotRun {
-                cause: NotRunCause::Unavailable,
-                retry_ms: UNAVAILABLE_RETRY_MS,
-            };
-        };
-        let left_ms = job.deadline.since(sent);
-        let mut request = job.request.clone();
-        strip_connection_headers(&mut request.headers);
-        headers::set_dispatch(
-            &mut request.headers,
-            DispatchTerms {
-                left_ms,
-                backend: &target.life.id,
-                origin: &job.origin,
-            },
-        );
-        let terms = SendTerms {
-            connect_ms: CONNECT_MS.min(left_ms),
-            answer_ms: left_ms,
-            rest_ms: if rule.idempotent {
-                REST_MS
-            } else {
-                SHORT_REST_MS
-            },
-        };
-        let check = AnswerCheck {
-            header: headers::REQUEST_ID,
-            id: &job.id,
-        };
-        let result = self
-            .pool
-            .send(target.address, &request, Some(check), terms)
-            .await;
-        match result {
-            Ok(answer) => self.answered(sent, rule, &target, answer),
-            Err(error) => self.failed(&target, &error),
-        }
-    }
-
-    /// Where requests go now.
-    fn target(&self) -> Option<DispatchTarget> {
-        let life = self.backend.read(|state| {
-            let state = state.filter(|state| state.is_serving())?;
-            Some(state.announced.life.clone())
-        })?;
-        let address = self.address.get();
-        Some(DispatchTarget { life, address })
-    }
-
-    /// Takes in an answer.
-    fn answered(
-        &self,
-        sent: Millis,
-        rule: &RouteRule,
-        target: &DispatchTarget,
-        answer: HttpAnswer,
-    ) -> GateEnd {
-        let now = clock::now();
-        if let Some(load) = headers::told_load(&answer.headers)
-            && let Some(pace) = load.pace_percent
-        {
-            self.state.borrow_mut().machine_pace = (now, pace);
-        }
-        let not_run = |cause| GateEnd::NotRun {
-            cause,
-            retry_ms: UNAVAILABLE_RETRY_MS,
-        };
-        match headers::meaning(&answer) {
-            AnswerMeaning::Ran => {
-                self.note_work(rule, now.since(sent) as f64);
-                let mut answer = answer;
-                strip_connection_headers(&mut answer.headers);
-                GateEnd::Answered(answer)
-            }
-            AnswerMeaning::NotRun => {
-                self.metrics.shed.inc();
-                not_run(NotRunCause::Shed)
-            }
-            AnswerMeaning::WrongBackend => {
-                log::info!(
-                    "belief backend={} rejects requests as meant for another",
-                    target.life.id
-                );
-                not_run(NotRunCause::NotHolder)
-            }
-            AnswerMeaning::Foreign => GateEnd::Unknown {
-                reason: "the answer is no backend server's".into(),
-            },
-        }
-    }
-
-    /// Takes in that no whole answer came.
-    fn failed(&self, target: &DispatchTarget, error: &ExchangeError) -> GateEnd {
-        if let ExchangeError::NoListener { .. } = error {
-            self.backend.refused(&target.life.id);
-        }
-        if error.may_have_run() {
-            return GateEnd::Unknown {
-                reason: error.to_string().into(),
-            };
-        }
-        GateEnd::NotRun {
-            cause: NotRunCause::Unavailable,
-            retry_ms: UNAVAILABLE_RETRY_MS,
-        }
-    }
-
-    /// Takes note of how long a request took.
-    fn note_work(&self, rule: &RouteRule, elapsed_ms: f64) {
-        let mut state = self.state.borrow_mut();
-        let name = Name::clone(&rule.name);
-        state.work.entry(name).or_default().observe(elapsed_ms);
-        let objective = (rule.objective_ms as f64).max(1.0);
-        state.pace.observe(elapsed_ms / objective);
-        drop(state);
-        self.metrics.backend_ms.observe(elapsed_ms);
-    }
-
     /// Load as it is told to gateways.
     #[must_use]
     pub fn load(&self, now: Millis) -> GateLoad {
@@ -593,7 +405,7 @@
             1.0
         };
         let pace = state.pace.mean_ms(UNKNOWN_PACE) * machine.max(1.0);
-        let used = state.offered.rate(now) / f64::from(slots.max(1));
+        let used = state.offered.share(now, slots);
         GateLoad {
             busy: state.queue.running() + state.queue.waiting(),
             slots,
@@ -608,13 +420,8 @@
         let slots = self
             .backend
             .read(|backend| backend.map_or(1, |backend| backend.announced.slots.max(1)));
-        let state = self.state.borrow();
-        let share = |sum: &FadingSum| sum.rate(now) / f64::from(slots);
-        let buckets = state.buckets.iter();
-        (
-            share(&state.offered),
-            buckets.map(|(bucket, sum)| (*bucket, share(sum))).collect(),
-        )
+        let offered = &self.state.borrow().offered;
+        (offered.share(now, slots), offered.by_bucket(now, slots))
     }
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod app;
 pub mod backend;
 pub mod beliefs;
+pub mod dispatch;
 pub mod feed;
 pub mod forward;
 pub mod gate;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod budget;
 pub mod choice;
 pub mod cold;
+pub mod offered;
 pub mod pace;
--- /dev/null
+++ b/crates/policy/tests/test_offered.rs
@@ -0,0 +1,40 @@
+//! One key or a few get much of the traffic: the count shows it soon, and forgets it soon.
+
+use googletest::prelude::*;
+use jy_policy::offered::OfferedWork;
+use jy_types::time::Millis;
+
+/// Offers requests of 100 ms, one each `every_ms`, from one point to another.
+fn offer(offered: &mut OfferedWork, bucket: u16, from: u64, to: u64, every_ms: usize) {
+    for now in (from..to).step_by(every_ms) {
+        offered.add(Millis(now), Some(bucket), 100.0);
+    }
+}
+
+#[gtest]
+fn share_shows_steady_load() {
+    let mut offered = OfferedWork::new();
+    offer(&mut offered, 1, 0, 8_000, 50);
+    let share = offered.share(Millis(8_000), 4);
+    expect_that!(share, all![ge(0.45), le(0.55)], "two of four slots");
+}
+
+#[gtest]
+fn by_bucket_shows_busy_keys_within_seconds() {
+    let mut offered = OfferedWork::new();
+    offer(&mut offered, 1, 0, 8_000, 50);
+    offer(&mut offered, 2, 8_000, 11_000, 20);
+    let shares = offered.by_bucket(Millis(11_000), 4);
+    expect_that!(shares[&2], ge(1.0));
+    expect_that!(shares[&1], le(0.1));
+}
+
+#[gtest]
+fn add_bounds_number_of_buckets() {
+    let mut offered = OfferedWork::new();
+    for bucket in 0..16_000_u16 {
+        offered.add(Millis(u64::from(bucket) * 10), Some(bucket), 5.0);
+    }
+    let shares = offered.by_bucket(Millis(160_000), 4);
+    expect_that!(shares.len(), le(2_048));
+}
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -7,10 +7,10 @@
 
 use actix_http::Method;
 use jy_http::message::HttpAnswer;
-use jy_http::message::HttpRequest;
-use jy_http::message::header_text;
 use jy_http::pool::ConnectionPool;
 use jy_http::pool::SendTerms;
+use jy_platform_standins::caller;
+use jy_platform_standins::caller::CallerRequest;
 use jy_platform_standins::ledger::RunLedger;
 use jy_types::name::Name;
 use rand::Rng;
@@ -24,8 +24,6 @@
 const PATIENCE_MS: u64 = 1_000;
 /// Time between two requests of a caller, in milliseconds.
 const PAUSE_MS: u64 = 30;
-/// Statuses that say that a request has not run and will not run.
-const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
 /// What callers saw since it was last taken.
 #[derive(Clone, Copy, Debug, Default)]
@@ -83,11 +81,14 @@
             _ => (Method::GET, "/reads/x"),
         };
         let is_idempotent = method == Method::GET;
-        let request = HttpRequest::new(method, path)
-            .with_header("host", HOST)
-            .with_header("x-request-id", id)
-            .with_header("x-deadline-ms", &PATIENCE_MS.to_string())
-            .with_header("x-shard-key", &rng.random::<u16>().to_string());
+        let request = caller::request(CallerRequest {
+            method: &method,
+            host: HOST,
+            path,
+            id,
+            patience_ms: PATIENCE_MS,
+            key: rng.random(),
+        });
         let terms = SendTerms {
             connect_ms: PATIENCE_MS,
             answer_ms: PATIENCE_MS,
@@ -98,13 +99,13 @@
             Ok(answer) if answer.status.is_success() => {
                 tally.served = 1;
                 self.check_success(id, &answer);
-                let seal = header_text(&answer.headers, "x-response-seal").unwrap_or_default();
+                let life = caller::signed_by(&answer).unwrap_or_default();
                 let in_force = format!("i-{}-", self.reads.get());
-                tally.outdated = u64::from(kind == 2 && !seal.starts_with(&in_force));
+                tally.outdated = u64::from(kind == 2 && !life.starts_with(&in_force));
             }
             Ok(answer) => {
                 tally.failed = 1;
-                if !is_idempotent && NOT_RUN.contains(&answer.status.as_u16()) {
+                if !is_idempotent && caller::says_not_run(&answer) {
                     self.ledger.denied(id);
                 }
                 if answer.status.as_u16() == 404 {
@@ -125,8 +126,8 @@
     /// Checks that a success is the whole answer to this request.
     fn check_success(&self, id: &Name, answer: &HttpAnswer) {
         let expected = format!("whole answer to {id}");
-        let has_seal = answer.headers.contains_key("x-response-seal");
-        if answer.body != expected.as_bytes() || !has_seal {
+        let is_signed = caller::signed_by(answer).is_some();
+        if answer.body != expected.as_bytes() || !is_signed {
             let body = String::from_utf8_lossy(&answer.body).into_owned();
             self.ledger
                 .violation(format!("{id} got the answer {body:?}"));
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -17,11 +17,13 @@
 use jy_platform_standins::backend::BackendTerms;
 use jy_platform_standins::backend::StandinBackend;
 use jy_platform_standins::ledger::RunLedger;
+use jy_platform_standins::operator;
+use jy_platform_standins::operator::OperatorConfig;
+use jy_platform_standins::operator::OperatorRoute;
 use jy_platform_standins::store::StandinStore;
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
-use serde_json::Value;
 use serde_json::json;
 
 use crate::relay::LinkRelay;
@@ -192,8 +194,24 @@
     }
 
     /// Writes a configuration: `reads` names the service that runs the route of reads.
-    pub fn configure(&self, version: u64, reads: &str) {
-        self.store.put("op/config", &configuration(version, reads));
+    pub fn configure(&self, version: u64, reads: &'static str) {
+        let route = |name, is_idempotent, service| OperatorRoute {
+            name,
+            is_idempotent,
+            service,
+        };
+        let routes = [
+            route("keyed", true, "keyed"),
+            route("orders", false, "orders"),
+            route("reads", true, reads),
+        ];
+        let config = OperatorConfig {
+            version,
+            host: HOST,
+            routes: &routes,
+            services: &SERVICES,
+        };
+        operator::configure(&self.store, &config);
     }
 }
 
@@ -276,34 +294,3 @@
         log: folder.join(format!("{name}.log")),
     })
 }
-
-/// A configuration as the platform's operators write it.
-fn configuration(version: u64, reads: &str) -> Value {
-    let services: Vec<Value> = SERVICES
-        .iter()
-        .map(|(name, is_keyed)| json!([name, "/health", 110, 3.0, 1_000.0, is_keyed]))
-        .collect();
-    json!({
-        "version": format!("r{version}"),
-        "routes": {
-            "columns": ["name", "host", "prefix", "kind", "timeout_ms", "target_latency_ms",
-                        "priority", "max_attempts", "service"],
-            "rows": [
-                ["keyed", HOST, "/keyed/", "safe", 1_000, 300, 2, 2, "keyed"],
-                ["orders", HOST, "/orders/", "unsafe", 1_000, 300, 1, 2, "orders"],
-                ["reads", HOST, "/reads/", "safe", 1_000, 300, 2, 2, reads],
-            ],
-        },
-        "services": {
-            "columns": ["name", "health_path", "max_connections", "cold_start_s", "cold_per_s",
-                        "sharded"],
-            "rows": services,
-        },
-        "limits": {
-            "max_header_bytes": 16_384,
-            "max_body_bytes": 1_048_576,
-            "header_timeout_ms": 3_000,
-            "idle_timeout_ms": 15_000,
-        },
-    })
-}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,9 +6,9 @@
 
 use anyhow::Result;
 use jy_kernel::clock;
+use jy_platform_standins::operator;
 use jy_platform_standins::store::StoreFaults;
 use rustix::process::Signal;
-use serde_json::json;
 use tokio::time::sleep;
 
 use crate::callers::CallerBoard;
@@ -180,9 +180,7 @@
             FaultKind::CrashBackend(index) => fleet.crash_backend(index),
             FaultKind::DrainBackend(index) => fleet.drain_backend(index),
             FaultKind::ZoneOut(zone) => {
-                fleet
-                    .store
-                    .put(&format!("op/evacuate/{}", ZONES[zone]), &json!({}));
+                operator::set_zone_out(&fleet.store, ZONES[zone], true);
             }
             FaultKind::Configure => {
                 self.version += 3;
@@ -230,7 +228,7 @@
                 fleet.start_backend(index).await?;
             }
             FaultKind::ZoneOut(zone) => {
-                fleet.store.delete(&format!("op/evacuate/{}", ZONES[zone]));
+                operator::set_zone_out(&fleet.store, ZONES[zone], false);
             }
             FaultKind::StopAgent(_)
             | FaultKind::HangUpAgent(_)
