edge, feed: an owner's absence counts from its last lapse

Agent c-1 saw b-1's record lapse, froze for 9 s, and took b-1's keys on waking: in between b-1 had come back, granted keys and lapsed again, which c-1 had not heard of; the condition that the record is absent held by chance. Besides, c-1 chose lapsed b-1 as receiver 150 times in 1.5 s.

Ruled out: a condition on the table's revision renewed with each registration: 30 owners that come back would each rewrite the table.

Change: an absence counts from the newest lapse that was told, also when return and lapse came together; a list tells known deletions anew, so that readers pass them on; before a takeover the agent catches up with the store; keys go only to agents whose records stand. The keeper's own list of missed owners is gone.

What is left: an owner that comes back, grants and is revoked between the catching up and the commit, some milliseconds.

--- a/crates/edge/src/beliefs.rs
+++ b/crates/edge/src/beliefs.rs
@@ -44,8 +44,10 @@
     pub record: Rc<InstanceRecord>,
     /// Its revision in the store, or zero once it lapsed.
     pub revision: u64,
-    /// When this agent saw that it had lapsed.
+    /// When this agent saw that it had lapsed, for the last time.
     pub lapsed: Option<Millis>,
+    /// Revision of that lapse, or zero.
+    pub lapse_revision: u64,
 }
 
 /// A table of key ranges and its revision.
@@ -62,6 +64,8 @@
 pub struct FleetBeliefs {
     /// All records of agents up to this revision are taken in.
     pub revision: u64,
+    /// When all records of agents were listed last.
+    pub listed_at: Millis,
     /// All records of operators up to this revision are taken in.
     pub operator_revision: u64,
     /// The configuration in force.
@@ -117,6 +121,16 @@
         self
     }
 
+    /// Since when an agent's record has surely not been in the store, as far as this agent has seen; none
+    /// if it is there.
+    #[must_use]
+    pub fn absent_since(&self, node: &str) -> Option<Millis> {
+        match self.instances.get(node) {
+            Some(seen) => seen.lapsed,
+            None => Some(self.listed_at),
+        }
+    }
+
     /// Returns the agents of an availability zone that read the fleet's records from the store for all
     /// others there: the first few by name.
     #[must_use]
@@ -203,13 +217,14 @@
     /// Takes in an agent's record.
     fn take_instance(&mut self, now: Millis, node: &str, record: &Record) {
         let Some(value) = &record.value else {
+            // An entry that came back and lapsed again, both unseen, has lapsed anew.
             if let Some(seen) = self.instances.get_mut(node)
-                && seen.revision < record.revision
-                && seen.lapsed.is_none()
+                && seen.revision.max(seen.lapse_revision) < record.revision
             {
                 log::info!("belief instance={node} lapsed revision={}", record.revision);
                 seen.lapsed = Some(now);
                 seen.revision = 0;
+                seen.lapse_revision = record.revision;
             }
             return;
         };
@@ -219,6 +234,7 @@
                     record: Rc::new(instance),
                     revision: record.revision,
                     lapsed: None,
+                    lapse_revision: 0,
                 };
                 self.instances.insert(node.into(), seen);
             }
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -38,6 +38,8 @@
 /// time for an answer; together they stay under the time after which an instance that lost its
 /// connections is bound again by a new configuration, 3 s of contact and 2 s to take it up.
 const WATCH_MS: u64 = 4_000;
+/// Wait of a watch that only asks for what is there, in milliseconds.
+const NO_WAIT_MS: u64 = 1;
 /// Wait before the next call after a failed one, in milliseconds; doubled up to the limit.
 const FIRST_PAUSE_MS: u64 = 50;
 /// Longest wait before the next call, in milliseconds: a store that is back is used soon.
@@ -227,6 +229,18 @@
         }
     }
 
+    /// Takes in what the store has now, without waiting for changes to come.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError`].
+    pub async fn catch_up(&self) -> Result<()> {
+        let after = self.replica.borrow().complete_to();
+        let batch = self.store.watch(self.part.prefix(), after, NO_WAIT_MS);
+        self.take_batch(batch.await?, false);
+        Ok(())
+    }
+
     /// Takes in a record that this agent has written.
     pub fn take_written(&self, record: Record) {
         let batch = RecordBatch {
@@ -257,8 +271,14 @@
     ///
     /// [`StoreError`].
     async fn list(&self) -> Result<bool> {
+        let asked = clock::now();
         let list = self.store.list(self.part.prefix()).await?;
         self.take_batch(list, true);
+        if self.part == FeedPart::Fleet {
+            let mut next = (**self.beliefs.borrow()).clone();
+            next.listed_at = asked;
+            self.beliefs.send_replace(Rc::new(next));
+        }
         Ok(true)
     }
 
--- a/crates/edge/src/keeper.rs
+++ b/crates/edge/src/keeper.rs
@@ -7,6 +7,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,7 +35,6 @@
 
 use crate::backend::BackendCell;
 use crate::beliefs::FleetBeliefs;
-use crate::beliefs::SeenRanges;
 use crate::beliefs::instance_key;
 use crate::beliefs::ranges_key;
 use crate::feed::BeliefCell;
@@ -97,8 +97,6 @@
 pub struct RangeKeeper {
     parts: KeeperParts,
     began: Millis,
-    /// When an owner without a record was first missed.
-    missed: RefCell<BTreeMap<Name, Millis>>,
     balanced: Cell<Millis>,
     /// When this agent claims keys for new lives, if no other has done it before.
     claim_due: Cell<Option<Millis>>,
@@ -107,10 +105,24 @@
 
 /// A change of a table with what it rests on.
 struct TableChange {
+    why: &'static str,
     table: RangeTable,
+    /// Revision that the table must have; zero for none.
+    expected: u64,
     /// Instances whose records must not be there.
     gone: Vec<Name>,
-    why: &'static str,
+}
+
+impl TableChange {
+    /// Makes a change that rests on the table alone.
+    const fn new(why: &'static str, table: RangeTable) -> Self {
+        Self {
+            why,
+            table,
+            expected: 0,
+            gone: Vec::new(),
+        }
+    }
 }
 
 /// What one look sees.
@@ -128,7 +140,6 @@
         Self {
             parts,
             began: clock::now(),
-            missed: RefCell::new(BTreeMap::new()),
             balanced: Cell::new(Millis::default()),
             claim_due: Cell::new(None),
             rng: RefCell::new(SmallRng::from_os_rng()),
@@ -169,21 +180,40 @@
         let Some(service) = self.service(&beliefs) else {
             return Ok(false);
         };
+        let Some(change) = self.due_change(&beliefs, &service) else {
+            return Ok(true);
+        };
+        if change.gone.is_empty() {
+            self.write(&service, change).await?;
+            return Ok(true);
+        }
+        // An owner may have come back and lapsed again since this agent heard of the store last.
+        self.parts.feed.catch_up().await?;
+        let beliefs = Rc::clone(&self.parts.beliefs.borrow());
+        if let Some(change) = self.due_change(&beliefs, &service) {
+            self.write(&service, change).await?;
+        }
+        Ok(true)
+    }
+
+    /// Finds the change of a service's table that is due.
+    fn due_change(&self, beliefs: &FleetBeliefs, service: &Name) -> Option<TableChange> {
         let now = clock::now();
-        let receivers = self.receivers(now, &beliefs, &service);
-        let Some(seen) = beliefs.ranges.get(&service) else {
-            return self.found(now, &service, &receivers).await;
+        let receivers = self.receivers(now, beliefs, service);
+        let Some(seen) = beliefs.ranges.get(service) else {
+            return self.first_table(now, &receivers);
         };
         let view = KeeperView {
             now,
-            beliefs: &beliefs,
+            beliefs,
             table: &seen.table,
             receivers: &receivers,
         };
-        if let Some(change) = self.change(&view) {
-            self.commit(&service, seen, change).await?;
-        }
-        Ok(true)
+        let change = self.change(&view)?;
+        Some(TableChange {
+            expected: seen.revision,
+            ..change
+        })
     }
 
     /// The service whose keys this agent keeps.
@@ -220,6 +250,9 @@
             })
             .filter_map(|choice| {
                 let seen = beliefs.instances.get(&choice.node)?;
+                if seen.lapsed.is_some() {
+                    return None;
+                }
                 let backend = seen.record.serving()?;
                 let used = if choice.node == self.parts.node {
                     own_used
@@ -240,35 +273,16 @@
             .collect()
     }
 
-    /// Makes the first table of a service.
-    ///
-    /// # Errors
-    ///
-    /// What the store says.
-    async fn found(
-        &self,
-        now: Millis,
-        service: &Name,
-        receivers: &[RangeReceiver],
-    ) -> Result<bool> {
-        let rank_ms = self.rank_ms(receivers);
-        if now.since(self.began) < SETTLE_MS + rank_ms {
-            return Ok(true);
+    /// Makes the first table of a service, once its backend servers have had time to announce themselves.
+    fn first_table(&self, now: Millis, receivers: &[RangeReceiver]) -> Option<TableChange> {
+        if now.since(self.began) < SETTLE_MS + self.rank_ms(receivers) {
+            return None;
         }
         let weights: Vec<(RangeOwner, u32)> = receivers
             .iter()
             .map(|receiver| (receiver.owner.clone(), receiver.slots))
             .collect();
-        let Some(table) = RangeTable::new(&weights) else {
-            return Ok(true);
-        };
-        let change = TableChange {
-            table,
-            gone: Vec::new(),
-            why: "first",
-        };
-        self.write(service, 0, change).await?;
-        Ok(true)
+        Some(TableChange::new("first", RangeTable::new(&weights)?))
     }
 
     /// How long this agent lets others go first, in milliseconds.
@@ -318,11 +332,10 @@
         }
         let table = view.table.clone();
         let is_earlier = |owner: &RangeOwner| present(owner).is_some();
-        Some(TableChange {
-            table: table.reassigned(is_earlier, |range| present(&range.owner).cloned()),
-            gone: Vec::new(),
-            why: "new life",
-        })
+        Some(TableChange::new(
+            "new life",
+            table.reassigned(is_earlier, |range| present(&range.owner).cloned()),
+        ))
     }
 
     /// Hands over marked ranges that the backend server has released, and takes back marks whose next
@@ -341,11 +354,10 @@
             range.owner == own && next.is_some_and(|next| !is_receiver(next))
         };
         if view.table.ranges().iter().any(is_void) {
-            return Some(TableChange {
-                table: view.table.clone().unmarked(is_void),
-                gone: Vec::new(),
-                why: "receiver gone",
-            });
+            return Some(TableChange::new(
+                "receiver gone",
+                view.table.clone().unmarked(is_void),
+            ));
         }
         let table = self.parts.backend.read(|state| {
             let state = state?;
@@ -353,11 +365,7 @@
             let table = view.table.clone().moved(&own, &state.freed, is_free);
             (table.ranges() != view.table.ranges()).then_some(table)
         })?;
-        Some(TableChange {
-            table,
-            gone: Vec::new(),
-            why: "released",
-        })
+        Some(TableChange::new("released", table))
     }
 
     /// Marks all keys of a backend server that leaves, or gives them away where it is gone.
@@ -378,11 +386,7 @@
             return None;
         }
         let table = plan::leave(view.table, &own, &others);
-        (table != *view.table).then_some(TableChange {
-            table,
-            gone: Vec::new(),
-            why: "leaves",
-        })
+        (table != *view.table).then_some(TableChange::new("leaves", table))
     }
 
     /// Whether the backend server is to hold no keys.
@@ -414,11 +418,8 @@
         let mut queue = ReceiverQueue::new(view.table, others);
         let table = view.table.clone();
         let table = table.reassigned(is_own, |range| queue.choose(range));
-        (table.ranges() != view.table.ranges()).then_some(TableChange {
-            table,
-            gone: Vec::new(),
-            why: "no backend server",
-        })
+        (table.ranges() != view.table.ranges())
+            .then_some(TableChange::new("no backend server", table))
     }
 
     /// Takes over the keys of instances whose records are gone for longer than they may grant keys.
@@ -432,33 +433,21 @@
         let table = view.table.clone();
         let table = table.reassigned(is_lost, |range| queue.choose(range));
         Some(TableChange {
-            table,
             gone: lost,
-            why: "owner lost",
+            ..TableChange::new("owner lost", table)
         })
     }
 
-    /// Owners whose keys may be taken.
+    /// Owners whose keys may be taken: their records have been absent for longer than they may grant keys.
     fn lost_owners(&self, view: &KeeperView<'_>) -> Vec<Name> {
         let wait_ms = AUTHORITY_MS + AUTHORITY_MARGIN_MS + self.rank_ms(view.receivers);
-        let mut missed = self.missed.borrow_mut();
-        let is_listed = |node: &Name| {
-            let seen = view.beliefs.instances.get(node);
-            seen.is_some_and(|seen| seen.lapsed.is_none())
+        let is_lost = |node: &Name| {
+            let since = view.beliefs.absent_since(node);
+            since.is_some_and(|since| view.now.since(since) >= wait_ms)
         };
-        missed.retain(|node, _| !is_listed(node));
-        let mut lost = Vec::new();
-        for range in view.table.ranges() {
-            let node = &range.owner.node;
-            if is_listed(node) || lost.contains(node) {
-                continue;
-            }
-            let since = *missed.entry(Name::clone(node)).or_insert(view.now);
-            if view.now.since(since) >= wait_ms {
-                lost.push(Name::clone(node));
-            }
-        }
-        lost
+        let owners = view.table.ranges().iter().map(|range| &range.owner.node);
+        let lost: BTreeSet<Name> = owners.filter(|node| is_lost(node)).cloned().collect();
+        lost.into_iter().collect()
     }
 
     /// Gives keys to a newcomer, or to one with room when this owner is busy.
@@ -481,28 +470,19 @@
         let mark = |table: RangeTable, step: &RangeMove| {
             table.marked(&own, step.first, step.last, &step.to)
         };
-        Some(TableChange {
-            table: moves.iter().fold(view.table.clone(), mark),
-            gone: Vec::new(),
-            why: "balance",
-        })
-    }
-
-    /// Writes a change of a table.
-    ///
-    /// # Errors
-    ///
-    /// What the store says.
-    async fn commit(&self, service: &Name, seen: &SeenRanges, change: TableChange) -> Result<()> {
-        self.write(service, seen.revision, change).await
+        Some(TableChange::new(
+            "balance",
+            moves.iter().fold(view.table.clone(), mark),
+        ))
     }
 
-    /// Writes a table if it has the expected revision.
+    /// Writes a change of a table, if what it rests on still holds.
     ///
     /// # Errors
     ///
     /// What the store says.
-    async fn write(&self, service: &Name, expected: u64, change: TableChange) -> Result<()> {
+    async fn write(&self, service: &Name, change: TableChange) -> Result<()> {
+        let expected = change.expected;
         let key = ranges_key(service);
         let text = match change.table.to_text() {
             Ok(text) => text,
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -128,6 +128,7 @@
                 record: Rc::new(record),
                 revision: 1,
                 lapsed,
+                lapse_revision: 0,
             },
         )]),
         ranges: BTreeMap::from([(
--- a/crates/feed/src/replica.rs
+++ b/crates/feed/src/replica.rs
@@ -56,15 +56,14 @@
     }
 
     /// Takes in a list of all records, complete at its revision, and returns the replica with the
-    /// records that changed. A record that the list lacks and that is older than it was deleted.
+    /// records that changed. A record that the list lacks and that is older than it was deleted, by then
+    /// at the latest. That holds also for one whose deletion is known: it may have been written and
+    /// deleted again since.
     #[must_use]
     pub fn with_list(self, list: RecordBatch) -> (Self, Vec<Record>) {
         let listed: BTreeSet<&Name> = list.records.iter().map(|record| &record.key).collect();
-        let is_gone = |record: &&Record| {
-            record.value.is_some()
-                && record.revision < list.complete_to
-                && !listed.contains(&record.key)
-        };
+        let is_gone =
+            |record: &&Record| record.revision < list.complete_to && !listed.contains(&record.key);
         let deletion = |record: &Record| Record {
             key: record.key.clone(),
             revision: list.complete_to,
