--- a/crates/kernel/src/bounded.rs
+++ b/crates/kernel/src/bounded.rs
@@ -5,6 +5,8 @@
 //! line that is taken.
 
 use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
@@ -35,6 +37,7 @@
 pub struct BoundedWriter {
     steps: SyncSender<WriterStep>,
     left_out: AtomicU64,
+    is_closed: Arc<AtomicBool>,
 }
 
 impl BoundedWriter {
@@ -45,17 +48,24 @@
     /// If no thread can be started.
     pub fn new(output: Box<dyn Write + Send>) -> std::io::Result<Self> {
         let (steps, taken) = sync_channel(MOST_WAITING);
+        let is_closed = Arc::new(AtomicBool::new(false));
+        let closed = Arc::clone(&is_closed);
         thread::Builder::new()
             .name("logs".into())
-            .spawn(move || write_all(output, &taken))?;
+            .spawn(move || write_all(output, &taken, &closed))?;
         Ok(Self {
             steps,
             left_out: AtomicU64::new(0),
+            is_closed,
         })
     }
 
     /// Hands a line to the thread, or counts it as left out.
     pub fn line(&self, line: Vec<u8>) {
+        if self.is_closed.load(Ordering::Acquire) {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
         let missing = self.left_out.swap(0, Ordering::Relaxed);
         let line = if missing == 0 {
             line
@@ -102,17 +112,23 @@
 
 /// Writes what comes until the writer is gone. An output that fails gets no more lines: there is nowhere
 /// left to say so.
-fn write_all(mut output: Box<dyn Write + Send>, taken: &Receiver<WriterStep>) {
+fn write_all(
+    mut output: Box<dyn Write + Send>,
+    taken: &Receiver<WriterStep>,
+    is_closed: &AtomicBool,
+) {
     while let Ok(step) = taken.recv() {
         match step {
             WriterStep::Line(line) => {
                 if output.write_all(&line).is_err() {
+                    is_closed.store(true, Ordering::Release);
                     return;
                 }
             }
             WriterStep::Flush(done) => {
                 let is_flushed = output.flush().is_ok();
                 if done.send(()).is_err() || !is_flushed {
+                    is_closed.store(true, Ordering::Release);
                     return;
                 }
             }
