edge: witnesses that support an owner are asked again when their promises end

Cause: every agent beside a service read the store and asked the witnesses at each look, 4 times a second, as long as an owner without a record was supported.

Change: a denial that fails is tried again when the longest promise told ends, and costs no call of the store: an owner that came back is known to its witnesses, and the take-over itself reads the store before it commits.

--- a/crates/edge/src/keeper.rs
+++ b/crates/edge/src/keeper.rs
@@ -108,6 +108,8 @@
     claim_due: Cell<Option<Millis>>,
     /// Owners that their witnesses have denied, and the revision of the record that names these.
     denied: RefCell<BTreeMap<Name, u64>>,
+    /// When the witnesses of an owner that they have not denied are asked again.
+    denial_due: RefCell<BTreeMap<Name, Millis>>,
     rng: RefCell<SmallRng>,
 }
 
@@ -160,6 +162,7 @@
             balanced: Cell::new(Millis::default()),
             claim_due: Cell::new(None),
             denied: RefCell::default(),
+            denial_due: RefCell::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
         }
     }
@@ -200,7 +203,7 @@
         let Some(service) = service else {
             return Ok(false);
         };
-        self.deny_lost(&beliefs, &service).await?;
+        self.deny_lost(&beliefs, &service).await;
         let Some(change) = self.due_change(&beliefs, &service) else {
             return Ok(true);
         };
@@ -218,23 +221,18 @@
     }
 
     /// Has the witnesses of owners without a record deny them, so that their keys can be taken.
-    ///
-    /// # Errors
-    ///
-    /// What the store says.
-    async fn deny_lost(&self, beliefs: &FleetBeliefs, service: &Name) -> Result<()> {
-        if self.deniable(beliefs, service).is_empty() {
-            return Ok(());
-        }
-        // An owner that has come back meanwhile must keep its support.
-        self.parts.feed.catch_up().await?;
-        let beliefs = Rc::clone(&self.parts.beliefs.borrow());
-        for (node, seen) in self.deniable(&beliefs, service) {
-            if self.parts.support.deny(&node, &seen.set).await {
-                self.denied.borrow_mut().insert(node, seen.revision);
+    async fn deny_lost(&self, beliefs: &FleetBeliefs, service: &Name) {
+        for (node, seen) in self.deniable(beliefs, service) {
+            match self.parts.support.deny(&node, &seen.set).await {
+                Ok(()) => {
+                    self.denied.borrow_mut().insert(node, seen.revision);
+                }
+                Err(retry_ms) => {
+                    let due = clock::now().plus(retry_ms);
+                    self.denial_due.borrow_mut().insert(node, due);
+                }
             }
         }
-        Ok(())
     }
 
     /// Owners of a service's keys that have lost their records and may be denied by their witnesses.
@@ -244,9 +242,11 @@
         };
         let now = clock::now();
         let wait_ms = self.rank_ms(&self.receivers(now, beliefs, service));
+        let denial_due = self.denial_due.borrow();
         let is_due = |node: &Name| {
             let since = beliefs.absent_since(node);
-            since.is_some_and(|since| now.since(since) >= wait_ms)
+            let is_ripe = denial_due.get(node).is_none_or(|due| now >= *due);
+            is_ripe && since.is_some_and(|since| now.since(since) >= wait_ms)
         };
         let owners = seen.table.ranges().iter().map(|range| &range.owner.node);
         let lost: BTreeSet<&Name> = owners.filter(|node| is_due(node)).collect();
--- a/crates/edge/src/support.rs
+++ b/crates/edge/src/support.rs
@@ -50,6 +50,8 @@
 const ANSWER_MS: u64 = 300;
 /// Connections to witnesses are reused after resting this long at most, in milliseconds.
 const REST_MS: u64 = 15_000;
+/// Witnesses that did not answer are asked to deny an owner again after this long, in milliseconds.
+const SILENT_RETRY_MS: u64 = 1_000;
 /// A witness that is gone is replaced after this long, in milliseconds, so that several that restart one
 /// after the other cost one write. Two of three suffice meanwhile.
 const REPLACE_MS: u64 = 1_500;
@@ -157,8 +159,12 @@
         }
     }
 
-    /// Asks an owner's witnesses to deny it; true if enough of them do.
-    pub async fn deny(&self, owner: &Name, set: &WitnessSet) -> bool {
+    /// Asks an owner's witnesses to deny it.
+    ///
+    /// # Errors
+    ///
+    /// If not enough of them do: when to ask again, in milliseconds.
+    pub async fn deny(&self, owner: &Name, set: &WitnessSet) -> Result<(), u64> {
         let ask = async |witness: &WitnessId| {
             let question = SupportQuestion {
                 owner: Name::clone(owner),
@@ -180,7 +186,15 @@
             set.epoch,
             set.witnesses
         );
-        is_denied
+        if is_denied {
+            return Ok(());
+        }
+        let left_ms = |answer: &Option<Denial>| match answer {
+            Some(Denial::Supported { left_ms }) => Some(*left_ms),
+            Some(Denial::Denied) | None => None,
+        };
+        let longest = answers.iter().filter_map(left_ms).max();
+        Err(longest.unwrap_or(SILENT_RETRY_MS))
     }
 
     /// Sends a question to another agent; none without an answer that is understood.
