policy, edge: requests for keys on their way wait only where that can help

Change: a request with twice that second left waits up to 0.6 of its time left; any other is refused at once, with a second as the time to come back. One rule in policy::moving for gateway and gate.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -15,6 +15,8 @@
 use jy_policy::choice::GateLoad;
 use jy_policy::choice::UNKNOWN_PACE;
 use jy_policy::cold::ColdLimit;
+use jy_policy::moving::USUAL_GAP_MS;
+use jy_policy::moving::longest_wait_ms;
 use jy_policy::offered::OfferedWork;
 use jy_policy::pace::PaceMean;
 use jy_ranges::plan::bucket_of;
@@ -182,7 +184,12 @@
     async fn serve_end(self: &Rc<Self>, job: GateJob) -> GateEnd {
         let refuse = |cause, retry_ms| GateEnd::NotRun { cause, retry_ms };
         if let Err(cause) = self.wait_until_able(&job).await {
-            return refuse(cause, UNAVAILABLE_RETRY_MS);
+            let retry_ms = if cause == NotRunCause::NotHolder {
+                USUAL_GAP_MS
+            } else {
+                UNAVAILABLE_RETRY_MS
+            };
+            return refuse(cause, retry_ms);
         }
         let now = clock::now();
         let Some((rule, service)) = self.rules(&job) else {
@@ -220,8 +227,8 @@
         end
     }
 
-    /// Waits while the backend server is about to become able to run a request, as long as its
-    /// objective can still be met.
+    /// Waits while the backend server is about to become able to run a request, as long as that is worth
+    /// it.
     ///
     /// # Errors
     ///
@@ -239,8 +246,7 @@
                 NotRunCause::NotHolder => self.is_granted_soon(job),
                 NotRunCause::Disowned | NotRunCause::Overloaded | NotRunCause::Shed => false,
             };
-            let span = job.objective.since(now) as f64;
-            let patience = (span * (1.0 - FIRST_WORK_SHARE)) as u64;
+            let patience = longest_wait_ms(now, job.objective, job.deadline);
             if !is_pending || patience == 0 {
                 return Err(cause);
             }
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -22,6 +22,8 @@
 use jy_policy::budget::BudgetTerms;
 use jy_policy::budget::SendAccount;
 use jy_policy::choice::EndpointTable;
+use jy_policy::moving::USUAL_GAP_MS;
+use jy_policy::moving::longest_wait_ms;
 use jy_ranges::table::RangeOwner;
 use jy_types::name::Name;
 use jy_types::routing::RouteRule;
@@ -49,11 +51,6 @@
 const MOST_ASKED: usize = 4;
 /// An idempotent request is sent once more if it has no answer after this share of its objective.
 const HEDGE_SHARE: f64 = 0.6;
-/// Share of the time to the objective for which a request waits while its key is on its way. A longer wait
-/// of the calls that running requests make holds the slots of these (docs/measurements/platform.md).
-const MOVE_PATIENCE: f64 = 0.6;
-/// When a caller may come back whose key has no holder now, in milliseconds: a move's usual gap.
-const NO_HOLDER_RETRY_MS: u64 = 250;
 /// When a caller may come back to an agent that has no configuration yet, in milliseconds.
 const NO_CONFIGURATION_RETRY_MS: u64 = 300;
 
@@ -424,7 +421,7 @@
         if holder.is_some() || call.asked > 0 {
             return holder;
         }
-        call.retry_ms = call.retry_ms.max(NO_HOLDER_RETRY_MS);
+        call.retry_ms = call.retry_ms.max(USUAL_GAP_MS);
         call.last = "no-holder";
         self.wait_for_move(call).await;
         self.holder(call)
@@ -467,13 +464,13 @@
         is_asked.then(|| Name::clone(&owner.node))
     }
 
-    /// Waits until the request's key has another owner, as long as the objective can still be met.
+    /// Waits until the request's key has another owner, as long as that is worth it.
     async fn wait_for_move(&self, call: &CallState) {
         self.hurry.notify_one();
         let before = owner_of(&self.beliefs.borrow(), call);
         let mut news = self.beliefs.subscribe();
-        let left = call.job.objective.since(clock::now()) as f64;
-        let patience = Duration::from_millis((left * MOVE_PATIENCE) as u64);
+        let wait_ms = longest_wait_ms(clock::now(), call.job.objective, call.job.deadline);
+        let patience = Duration::from_millis(wait_ms);
         let moved = news.wait_for(|beliefs| owner_of(beliefs, call) != before);
         let _is_moved = timeout(patience, moved).await;
     }
