policy: what would be late is refused at once while others wait

Cause: a request was let in if it could end by its deadline.

Change: a request that has to wait is let in if it can still be on time, or waits at most a tenth of what it has to spare; brief urgent work, such as calls of running requests, as before by its deadline.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -15,6 +15,10 @@
 /// before its deadline.
 const WORK_MARGIN: f64 = 1.3;
 
+/// Share of the time that a request has to spare until its deadline for which it may wait though it will be
+/// late.
+const LATE_WAIT_SHARE: f64 = 0.1;
+
 /// Share of its mean work that a running request is expected to need at least.
 const LEAST_REST: f64 = 0.25;
 
@@ -119,8 +123,7 @@
             .map(|(_, waiting)| waiting.work_ms)
             .sum();
         let wait_ms = self.wait_ms(now, &terms, before);
-        let end = now.plus((wait_ms + terms.work_ms * WORK_MARGIN) as u64);
-        if wait_ms > 0.0 && end > terms.deadline {
+        if wait_ms > 0.0 && wait_ms > self.longest_wait_ms(now, &terms) {
             let retry_ms = wait_ms as u64;
             return Admission::Refused { retry_ms };
         }
@@ -151,6 +154,20 @@
         Some(ticket)
     }
 
+    /// Longest wait that is worth it for a request, in milliseconds: until the last start with which it can
+    /// be on time, or a small part of the time until the last one with which it can be done at all. Brief
+    /// urgent work may use all that time.
+    fn longest_wait_ms(&self, now: Millis, terms: &WorkTerms) -> f64 {
+        let need_ms = terms.work_ms * WORK_MARGIN;
+        let until = |end: Millis| end.since(now) as f64 - need_ms;
+        let mut below = self.offered.range(terms.priority.saturating_add(1)..);
+        if below.any(|(_, class)| terms.work_ms <= class.mean.mean_ms(0.0) * BRIEF_SHARE) {
+            return until(terms.deadline);
+        }
+        let on_time = until(terms.objective.min(terms.deadline));
+        on_time.max(until(terms.deadline) * LATE_WAIT_SHARE)
+    }
+
     /// Slots that are free for work of a class, apart from those kept for brief work of more urgent ones.
     fn free_slots(&self, now: Millis, terms: &WorkTerms) -> u32 {
         let free = self.slots.saturating_sub(self.running());
--- a/crates/policy/tests/test_admission.rs
+++ b/crates/policy/tests/test_admission.rs
@@ -128,3 +128,35 @@
 fn start_rare_urgent_work_keeps_no_slot() {
     expect_that!(queue_after(1).running(), eq(6));
 }
+
+#[gtest]
+fn offer_overload_refuses_at_once_what_would_be_late() {
+    let mut queue = WorkQueue::new(6);
+    let browse = |at: u64| WorkTerms {
+        objective: Millis(at + 800),
+        deadline: Millis(at + 3_000),
+        work_ms: 300.0,
+        ..LEISURELY
+    };
+    let mut queued = 0;
+    for ticket in 0..100 {
+        if queue.offer(Millis(0), ticket, browse(0)) == Admission::Queued {
+            queued += 1;
+        }
+        queue.start(Millis(0));
+    }
+    expect_that!(queued, ge(10), "the slots stay busy");
+    expect_that!(queued, le(18), "six run and all others end within 800 ms");
+}
+
+#[gtest]
+fn offer_overload_still_takes_call_of_running_request() {
+    let mut queue = queue_after(40);
+    let call = WorkTerms {
+        objective: Millis(1),
+        ..BRIEF
+    };
+    queue.offer(Millis(1), 200, call);
+    queue.start(Millis(1));
+    expect_that!(queue.offer(Millis(1), 201, call), eq(Admission::Queued));
+}
