edge: one agent a zone reads operators' records for the others, with a proof of their age

Change: the second reader of a zone reads from the first as long as that answers. Operators' records come the same way in zones of six agents or more, with the age of the reader's proof that nothing newer is there; a proof older than 1.3 s makes an agent list the store itself.

First try: such an agent went on with a watch of 4 s. Now it lists, and watches for half a second.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -13,7 +13,6 @@
 use futures_util::future::LocalBoxFuture;
 use jy_config::edge;
 use jy_config::edge::EdgeSettings;
-use jy_feed::replica::RecordReplica;
 use jy_http::message::HttpAnswer;
 use jy_http::message::HttpRequest;
 use jy_http::message::header_text;
@@ -46,6 +45,7 @@
 use crate::feed::FeedPart;
 use crate::feed::FeedState;
 use crate::feed::RecordFeed;
+use crate::feed::RelaySource;
 use crate::forward;
 use crate::gate::OwnGate;
 use crate::gateway::CallerGateway;
@@ -93,7 +93,10 @@
     metrics: Rc<EdgeMetrics>,
     feed: Rc<watch::Sender<FeedState>>,
     hurry: Rc<Notify>,
-    replica: Rc<RefCell<RecordReplica>>,
+    /// What operators wrote, for other agents.
+    operator: RelaySource,
+    /// What agents wrote, for other agents.
+    fleet: RelaySource,
     leaving: Rc<Cell<bool>>,
 }
 
@@ -176,7 +179,17 @@
             record,
             Rc::clone(&support),
         ));
+        let feed = Rc::new(watch::Sender::new(FeedState::default()));
+        let relay = |part| RelaySource {
+            part,
+            replica: Rc::default(),
+            proved: Rc::default(),
+            beliefs: Rc::clone(&beliefs),
+            state: Rc::clone(&feed),
+        };
         Self {
+            operator: relay(FeedPart::Operator),
+            fleet: relay(FeedPart::Fleet),
             settings,
             beliefs,
             backend,
@@ -185,9 +198,8 @@
             member,
             support,
             metrics,
-            feed: Rc::new(watch::Sender::new(FeedState::default())),
+            feed,
             hurry,
-            replica: Rc::default(),
             leaving,
         }
     }
@@ -195,9 +207,9 @@
     /// Starts everything that runs beside the listeners.
     fn start(self: &Rc<Self>) {
         let store = StoreClient::new(self.settings.store);
-        let operator = self.record_feed(FeedPart::Operator);
+        let operator = self.record_feed(&self.operator);
         actix_rt::spawn(async move { operator.run().await });
-        let fleet = self.record_feed(FeedPart::Fleet);
+        let fleet = self.record_feed(&self.fleet);
         let feed = Rc::clone(&fleet);
         actix_rt::spawn(async move { fleet.run().await });
         let member = Rc::clone(&self.member);
@@ -222,20 +234,17 @@
     }
 
     /// Makes the feed of one part of the records.
-    fn record_feed(&self, part: FeedPart) -> Rc<RecordFeed> {
-        let replica = match part {
-            FeedPart::Operator => Rc::default(),
-            FeedPart::Fleet => Rc::clone(&self.replica),
-        };
+    fn record_feed(&self, source: &RelaySource) -> Rc<RecordFeed> {
         Rc::new(RecordFeed {
             node: Name::clone(&self.settings.name),
             zone: Name::clone(&self.settings.zone),
             store: StoreClient::new(self.settings.store),
-            part,
+            part: source.part,
             beliefs: Rc::clone(&self.beliefs),
             state: Rc::clone(&self.feed),
             hurry: Rc::clone(&self.hurry),
-            replica,
+            replica: Rc::clone(&source.replica),
+            proved: Rc::clone(&source.proved),
             pool: ConnectionPool::new(),
             avoided: RefCell::default(),
         })
@@ -337,8 +346,10 @@
         request: HttpRequest,
         read: Millis,
     ) -> LocalBoxFuture<'static, HttpAnswer> {
-        if request.path() == feed::RELAY_PATH {
-            return self.answer_relay(&request);
+        match request.path() {
+            feed::FLEET_PATH => return Self::answer_relay(&request, self.fleet.clone()),
+            feed::OPERATOR_PATH => return Self::answer_relay(&request, self.operator.clone()),
+            _ => {}
         }
         if let Some(answer) = self.support.answer(&request) {
             return Box::pin(async move { answer });
@@ -357,16 +368,17 @@
         })
     }
 
-    /// Answers another agent that asks for news of the fleet.
-    fn answer_relay(&self, request: &HttpRequest) -> LocalBoxFuture<'static, HttpAnswer> {
+    /// Answers another agent that asks for news.
+    fn answer_relay(
+        request: &HttpRequest,
+        source: RelaySource,
+    ) -> LocalBoxFuture<'static, HttpAnswer> {
         let after = request.target.rsplit_once("after=").map(|(_, after)| after);
         let after = after
             .and_then(|after| after.parse().ok())
             .unwrap_or_default();
-        let (replica, beliefs) = (Rc::clone(&self.replica), Rc::clone(&self.beliefs));
-        let state = Rc::clone(&self.feed);
         Box::pin(async move {
-            let Some(body) = feed::answer_relay(after, replica, beliefs, state).await else {
+            let Some(body) = feed::answer_relay(after, source).await else {
                 let reason = "the store is out of reach here";
                 return refusal::rejected(StatusCode::SERVICE_UNAVAILABLE, reason);
             };
--- a/crates/edge/src/beliefs.rs
+++ b/crates/edge/src/beliefs.rs
@@ -36,8 +36,8 @@
 /// An instance whose record lapsed is forgotten after this long, in milliseconds.
 const FORGET_MS: u64 = 120_000;
 
-/// Agents of an availability zone that read the fleet's records from the store: two, so that the loss of
-/// one leaves the others a source.
+/// Agents of an availability zone that may read the store for the others there: two, so that the loss of
+/// the first leaves a source.
 const READERS_A_ZONE: usize = 2;
 
 /// An agent's record and what became of it.
@@ -151,8 +151,8 @@
         }
     }
 
-    /// Returns the agents of an availability zone that read the fleet's records from the store for all
-    /// others there: the first few by name.
+    /// Returns the agents of an availability zone that may read the store for all others there: the first
+    /// few by name. Each relies on those before it as long as they answer.
     #[must_use]
     pub fn readers(&self, zone: &str) -> Vec<Rc<InstanceRecord>> {
         let is_reader = |seen: &&SeenInstance| {
@@ -166,6 +166,13 @@
             .collect()
     }
 
+    /// Number of agents of an availability zone that are in the store.
+    #[must_use]
+    pub fn in_zone(&self, zone: &str) -> usize {
+        let is_there = |seen: &&SeenInstance| *seen.record.zone == *zone && seen.lapsed.is_none();
+        self.instances.values().filter(is_there).count()
+    }
+
     /// Returns the live agents that may run requests of a service.
     #[must_use]
     pub fn choices(&self, now: Millis, service: &str, own_zone: &str) -> Vec<RouteChoice> {
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -1,8 +1,10 @@
 //! Keeps the beliefs up to date: a list of the store's records, then a watch from its revision on.
 //!
-//! What operators write is read by every agent, since it must be in force everywhere within seconds.
-//! What agents write is read by two agents of each availability zone, and from them by the others.
+//! One agent of each availability zone reads the store for the others there, a second one takes its place.
+//! What operators write must be in force everywhere within seconds. So an agent takes it from another only
+//! where there are many in its zone, and only with a proof that nothing newer was there a moment ago.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -38,6 +40,15 @@
 /// time for an answer; together they stay under the time after which an instance that lost its
 /// connections is bound again by a new configuration, 3 s of contact and 2 s to take it up.
 const WATCH_MS: u64 = 4_000;
+/// Wait of a watch on what operators wrote by an agent that reads it for others, in milliseconds: how old its
+/// proof that there is nothing newer becomes.
+const PROOF_WATCH_MS: u64 = 500;
+/// Oldest proof with which an agent relies on another for what operators wrote, in milliseconds. With the
+/// time until a silent reader is noticed it stays under the 2 s within which that must be in force.
+const PROOF_AGE_MS: u64 = 1_300;
+/// An agent reads what operators wrote from another if there are at least this many in its zone: the reads
+/// of fewer cost less than the proofs.
+const LEAST_RELAYED: usize = 6;
 /// Wait of a watch that only asks for what is there, in milliseconds.
 const NO_WAIT_MS: u64 = 1;
 /// Wait before the next call after a failed one, in milliseconds; doubled up to the limit.
@@ -46,19 +57,26 @@
 const LONGEST_PAUSE_MS: u64 = 400;
 /// Pause after news of the fleet, in milliseconds: changes that come together are read together.
 const FLEET_PAUSE_MS: u64 = 100;
-/// Longest wait at another agent for news, in milliseconds: how long a silent one goes unnoticed.
-const RELAY_WAIT_MS: u64 = 2_000;
+/// Longest wait at another agent for news of the fleet, in milliseconds: how long a silent one goes unnoticed.
+const FLEET_WAIT_MS: u64 = 2_000;
+/// Longest wait at another agent for what operators wrote, in milliseconds.
+const OPERATOR_WAIT_MS: u64 = 300;
 /// An agent answers within this time on top of the wait, in milliseconds.
 const RELAY_ANSWER_MS: u64 = 300;
 /// Longest wait for a connection to another agent, in milliseconds.
 const RELAY_CONNECT_MS: u64 = 150;
 /// Connections to another agent are reused after resting this long at most, in milliseconds.
 const RELAY_REST_MS: u64 = 15_000;
-/// An agent that could not be read from is left alone this long, in milliseconds.
-const RELAY_AVOID_MS: u64 = 3_000;
+/// An agent that had no news of the fleet is left alone this long, in milliseconds.
+const FLEET_AVOID_MS: u64 = 3_000;
+/// An agent that had no fresh proof for what operators wrote is left alone this long, in milliseconds: all
+/// others of its zone read the store meanwhile.
+const OPERATOR_AVOID_MS: u64 = 1_000;
 
 /// Path at which agents read the fleet's records from one another.
-pub const RELAY_PATH: &str = "/jy/fleet";
+pub const FLEET_PATH: &str = "/jy/fleet";
+/// Path at which agents read the operators' records from one another.
+pub const OPERATOR_PATH: &str = "/jy/operator";
 
 /// The beliefs and the news of them.
 pub type BeliefCell = watch::Sender<Rc<FleetBeliefs>>;
@@ -80,6 +98,30 @@
             Self::Fleet => OWN_PREFIX,
         }
     }
+
+    /// Path at which agents read the records from one another.
+    const fn path(self) -> &'static str {
+        match self {
+            Self::Operator => OPERATOR_PATH,
+            Self::Fleet => FLEET_PATH,
+        }
+    }
+
+    /// How long an agent without news is left alone, in milliseconds.
+    const fn avoid_ms(self) -> u64 {
+        match self {
+            Self::Operator => OPERATOR_AVOID_MS,
+            Self::Fleet => FLEET_AVOID_MS,
+        }
+    }
+
+    /// Longest wait at another agent, in milliseconds.
+    const fn relay_wait_ms(self) -> u64 {
+        match self {
+            Self::Operator => OPERATOR_WAIT_MS,
+            Self::Fleet => FLEET_WAIT_MS,
+        }
+    }
 }
 
 /// Whether the store answers, as far as the feed knows.
@@ -91,11 +133,26 @@
     pub lost: Option<Millis>,
 }
 
+/// How reading from another agent ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RelayEnd {
+    /// It told its news, or that there are none.
+    Taken,
+    /// It did not answer, or can't prove that its news are the newest.
+    Stale,
+    /// The store is to be read.
+    Unused,
+}
+
 /// What one agent tells another of the fleet's records.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct RelayAnswer {
     /// What the asking agent lacks.
     batch: RecordBatch,
+    /// How long it was kept waiting, in milliseconds.
+    waited_ms: u64,
+    /// Age of the proof that there is nothing newer, in milliseconds.
+    proof_age_ms: u64,
 }
 
 /// One feed's store, beliefs and state.
@@ -116,6 +173,8 @@
     pub hurry: Rc<Notify>,
     /// All records as they came.
     pub replica: Rc<RefCell<RecordReplica>>,
+    /// Point up to which nothing is missing: the store or another agent has said so.
+    pub proved: Rc<Cell<Millis>>,
     /// Connections to other agents.
     pub pool: ConnectionPool,
     /// Agents that could not be read from, and until when they are left alone.
@@ -128,8 +187,13 @@
         let mut pause_ms = FIRST_PAUSE_MS;
         let mut is_listed = false;
         loop {
-            if is_listed && self.relay().await {
-                continue;
+            if is_listed {
+                match self.relay().await {
+                    RelayEnd::Taken => continue,
+                    // A watch may wait for news that the store told it to nobody, so all is read again.
+                    RelayEnd::Stale => is_listed = self.part == FeedPart::Fleet,
+                    RelayEnd::Unused => {}
+                }
             }
             let result = if is_listed {
                 self.follow().await
@@ -165,47 +229,70 @@
         }
     }
 
-    /// Reads the fleet's records from another agent of the availability zone; false if the store is to
-    /// be read: by those that read it for the others, and where none of these has news.
-    async fn relay(&self) -> bool {
-        if self.part != FeedPart::Fleet {
-            return false;
-        }
+    /// Reads the records from another agent of the availability zone, if there is one that reads the store for
+    /// the others and has news.
+    async fn relay(&self) -> RelayEnd {
         let now = clock::now();
-        let readers = self.beliefs.borrow().readers(&self.zone);
-        if readers.iter().any(|reader| reader.node == self.node) {
-            return false;
+        let (readers, is_small) = {
+            let beliefs = self.beliefs.borrow();
+            let is_small = beliefs.in_zone(&self.zone) < LEAST_RELAYED;
+            (beliefs.readers(&self.zone), is_small)
+        };
+        if self.part == FeedPart::Operator && is_small {
+            return RelayEnd::Unused;
         }
         let is_avoided = |node: &Name| {
             let avoided = self.avoided.borrow();
             avoided.get(node).is_some_and(|until| now < *until)
         };
-        let Some(reader) = readers.iter().find(|reader| !is_avoided(&reader.node)) else {
-            return false;
+        let first = readers.iter().find(|reader| !is_avoided(&reader.node));
+        let Some(reader) = first.filter(|reader| reader.node != self.node) else {
+            return RelayEnd::Unused;
         };
-        match self.ask(reader.gate).await {
+        let is_fresh = match self.ask(reader.gate).await {
             Some(answer) => {
+                let proved = now.plus(answer.waited_ms).minus(answer.proof_age_ms);
                 self.take_batch(answer.batch, false);
+                self.proved.set(proved.max(self.proved.get()));
+                let age_ms = clock::now().since(self.proved.get());
+                self.part == FeedPart::Fleet || age_ms <= PROOF_AGE_MS
             }
-            None => {
-                log::info!("belief no news of the fleet from instance={}", reader.node);
-                let until = now.plus(RELAY_AVOID_MS);
-                self.avoided
-                    .borrow_mut()
-                    .insert(Name::clone(&reader.node), until);
-            }
+            None => false,
+        };
+        if is_fresh {
+            return RelayEnd::Taken;
+        }
+        let now = clock::now();
+        log::info!(
+            "belief no fresh news of {} from instance={} proof_age_ms={}",
+            self.part.prefix(),
+            reader.node,
+            now.since(self.proved.get())
+        );
+        let until = now.plus(self.part.avoid_ms());
+        let mut avoided = self.avoided.borrow_mut();
+        avoided.insert(Name::clone(&reader.node), until);
+        RelayEnd::Stale
+    }
+
+    /// Longest wait of a watch, in milliseconds.
+    fn watch_ms(&self) -> u64 {
+        let is_relayed = self.beliefs.borrow().in_zone(&self.zone) >= LEAST_RELAYED;
+        if self.part == FeedPart::Operator && is_relayed {
+            PROOF_WATCH_MS
+        } else {
+            WATCH_MS
         }
-        true
     }
 
     /// Asks another agent for news.
     async fn ask(&self, to: SocketAddr) -> Option<RelayAnswer> {
         let after = self.replica.borrow().complete_to();
-        let target = format!("{RELAY_PATH}?after={after}");
+        let target = format!("{}?after={after}", self.part.path());
         let request = HttpRequest::new(Method::GET, &target).with_header("host", "fleet");
         let terms = SendTerms {
             connect_ms: RELAY_CONNECT_MS,
-            answer_ms: RELAY_WAIT_MS + RELAY_ANSWER_MS,
+            answer_ms: self.part.relay_wait_ms() + RELAY_ANSWER_MS,
             rest_ms: RELAY_REST_MS,
         };
         let answer = match self.pool.send(to, &request, None, terms).await {
@@ -274,6 +361,7 @@
         let asked = clock::now();
         let list = self.store.list(self.part.prefix()).await?;
         self.take_batch(list, true);
+        self.proved.set(asked);
         if self.part == FeedPart::Fleet {
             let mut next = (**self.beliefs.borrow()).clone();
             next.listed_at = asked;
@@ -289,10 +377,14 @@
     /// [`StoreError`].
     async fn follow(&self) -> Result<bool> {
         let after = self.replica.borrow().complete_to();
-        let batch = self
-            .store
-            .watch(self.part.prefix(), after, WATCH_MS)
-            .await?;
+        let asked = clock::now();
+        let wait_ms = self.watch_ms();
+        let batch = self.store.watch(self.part.prefix(), after, wait_ms).await?;
+        // The store answers a watch without changes when its wait is over, and any other at some point after
+        // it was asked.
+        let is_idle = batch.records.is_empty();
+        let proved = asked.plus(if is_idle { wait_ms } else { 0 });
+        self.proved.set(proved.min(clock::now()));
         Ok(self.take_batch(batch, false))
     }
 
@@ -317,26 +409,49 @@
     }
 }
 
-/// Answers another agent that asks for news of the fleet: at once if there are any, else after a wait;
-/// none if this agent has lost the store itself.
-pub async fn answer_relay(
-    after: u64,
-    replica: Rc<RefCell<RecordReplica>>,
-    beliefs: Rc<BeliefCell>,
-    state: Rc<watch::Sender<FeedState>>,
-) -> Option<Vec<u8>> {
+/// Records that one agent tells others, with what belongs to them.
+#[derive(Clone)]
+pub struct RelaySource {
+    /// Which records.
+    pub part: FeedPart,
+    /// The records.
+    pub replica: Rc<RefCell<RecordReplica>>,
+    /// Point up to which nothing is missing.
+    pub proved: Rc<Cell<Millis>>,
+    /// Tells of news.
+    pub beliefs: Rc<BeliefCell>,
+    /// Whether the store answers.
+    pub state: Rc<watch::Sender<FeedState>>,
+}
+
+/// Answers another agent that asks for news: at once if there are any, else after a wait; none if this agent
+/// has lost the store itself.
+pub async fn answer_relay(after: u64, source: RelaySource) -> Option<Vec<u8>> {
+    let asked = clock::now();
+    let RelaySource {
+        part,
+        replica,
+        proved,
+        beliefs,
+        state,
+    } = source;
     let mut news = beliefs.subscribe();
     let wait =
         async { while replica.borrow().complete_to() <= after && news.changed().await.is_ok() {} };
-    let _has_news = timeout(Duration::from_millis(RELAY_WAIT_MS), wait).await;
+    let _has_news = timeout(Duration::from_millis(part.relay_wait_ms()), wait).await;
     if state.borrow().lost.is_some() || replica.borrow().complete_to() < after {
         return None;
     }
-    let batch = replica.borrow().batch_after(after);
-    match serde_json::to_vec(&RelayAnswer { batch }) {
+    let now = clock::now();
+    let answer = RelayAnswer {
+        batch: replica.borrow().batch_after(after),
+        waited_ms: now.since(asked),
+        proof_age_ms: now.since(proved.get()),
+    };
+    match serde_json::to_vec(&answer) {
         Ok(text) => Some(text),
         Err(error) => {
-            log::error!("news of the fleet can't be written down: {error}");
+            log::error!("news can't be written down: {error}");
             None
         }
     }
