edge, policy: keys move once an overload has lasted

Change: an owner gives keys away once the work offered beyond its capacity adds up to 6 s of the whole backend server, less what it could make up for since (policy::offered::LastingExcess): a lasting mild overload moves keys as before, a short heat does not. Tests: observe_short_heat_is_little_excess, observe_lasting_mild_overload_adds_up.

--- a/crates/edge/src/keeper.rs
+++ b/crates/edge/src/keeper.rs
@@ -17,6 +17,7 @@
 use jy_platform::store::StoreClient;
 use jy_platform::store::StoreCommit;
 use jy_platform::store::StoreWrite;
+use jy_policy::offered::LastingExcess;
 use jy_ranges::plan;
 use jy_ranges::plan::RangeMove;
 use jy_ranges::plan::RangeReceiver;
@@ -60,6 +61,10 @@
 /// Time between moves to balance load, in periods of announcements: a move takes up to two, and the loads
 /// must show what the last one did.
 const BALANCE_PERIODS: f64 = 3.0;
+/// An owner gives keys away once it was offered this much more than it can do, as the time in which it could
+/// do that, in milliseconds. A move leaves its keys without a holder for about 1.4 s and cold for 2 s more; a
+/// heat that passes sooner costs less (docs/measurements/platform.md).
+const LEAST_EXCESS_MS: f64 = 6_000.0;
 /// Loads of others that are older are not used, in milliseconds.
 const LOAD_AGE_MS: u64 = 2_000;
 /// Share of the capacity in use of a backend server that was not heard of lately: busy ones are heard of
@@ -104,6 +109,7 @@
     parts: KeeperParts,
     began: Millis,
     balanced: Cell<Millis>,
+    excess: Cell<LastingExcess>,
     /// When this agent claims keys for new lives, if no other has done it before.
     claim_due: Cell<Option<Millis>>,
     /// Owners that their witnesses have denied, and the revision of the record that names these.
@@ -160,6 +166,7 @@
             parts,
             began: clock::now(),
             balanced: Cell::new(Millis::default()),
+            excess: Cell::new(LastingExcess::new()),
             claim_due: Cell::new(None),
             denied: RefCell::default(),
             denial_due: RefCell::default(),
@@ -526,20 +533,27 @@
     /// Gives keys to a newcomer, or to one with room when this owner is busy.
     fn balance(&self, view: &KeeperView<'_>) -> Option<TableChange> {
         let own = self.parts.backend.owner()?;
+        let (used, work) = self.parts.gate.usage(view.now);
+        let mut excess = self.excess.get();
+        let excess_ms = excess.observe(view.now, used);
+        self.excess.set(excess);
         let wait_ms = self.parts.period_ms as f64 * BALANCE_PERIODS;
         if (view.now.since(self.balanced.get()) as f64) < wait_ms {
             return None;
         }
-        let (used, work) = self.parts.gate.usage(view.now);
-        let newcomer = plan::share_with_newcomer(view.table, &own, view.receivers);
-        let moves = newcomer.map_or_else(
-            || plan::relieve(view.table, &own, used, &work, view.receivers),
-            |step| vec![step],
-        );
+        let moves = match plan::share_with_newcomer(view.table, &own, view.receivers) {
+            Some(step) => vec![step],
+            None if excess_ms >= LEAST_EXCESS_MS => {
+                plan::relieve(view.table, &own, used, &work, view.receivers)
+            }
+            None => Vec::new(),
+        };
         if moves.is_empty() {
             return None;
         }
         self.balanced.set(view.now);
+        excess.clear();
+        self.excess.set(excess);
         let mark = |table: RangeTable, step: &RangeMove| {
             table.marked(&own, step.first, step.last, &step.to)
         };
--- a/crates/policy/src/offered.rs
+++ b/crates/policy/src/offered.rs
@@ -11,6 +11,9 @@
 /// Work of a bucket that is little, in milliseconds: a fraction of one request's.
 const LEAST_BUCKET_MS: f64 = 1.0;
 
+/// Share of its capacity that a backend server may be offered without being overloaded.
+const FULL_SHARE: f64 = 1.1;
+
 /// Work that was offered lately, fading with time.
 #[derive(Clone, Copy, Debug, Default)]
 struct FadingSum {
@@ -79,3 +82,37 @@
         buckets.map(|(bucket, sum)| (*bucket, share(sum))).collect()
     }
 }
+
+/// Work that a backend server was offered beyond its capacity and that it has not had time to make up for
+/// since. An overload that lasts pays for a remedy that itself costs; a short one does not.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LastingExcess {
+    excess_ms: f64,
+    at: Millis,
+}
+
+impl LastingExcess {
+    /// Makes an account without any excess.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the share of the capacity that is asked for now, and returns the excess: the time in which
+    /// the whole backend server could do it, in milliseconds.
+    pub fn observe(&mut self, now: Millis, share: f64) -> f64 {
+        let span_ms = if self.at == Millis::default() {
+            0
+        } else {
+            now.since(self.at)
+        };
+        self.at = now;
+        self.excess_ms = (self.excess_ms + (share - FULL_SHARE) * span_ms as f64).max(0.0);
+        self.excess_ms
+    }
+
+    /// Forgets the excess, because a remedy was begun.
+    pub fn clear(&mut self) {
+        self.excess_ms = 0.0;
+    }
+}
