edge: older release texts and views of lost instances are dropped

Cause: texts that a backend server leaves for the next holder of a range were only added to. A range released twice gave its next owner the first text, and the list grew with each move. Views of endpoints that are gone stayed for ever.

Change: a range that is held again forgets its older text; views are kept while the instance is known.

Test: announce_range_held_again_forgets_older_release, which fails without the change.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -266,6 +266,7 @@
                     listed = next;
                 }
                 _ = beliefs_news.changed() => {
+                    self.gateway.forget_gone();
                     if self.is_own_record_known() {
                         continue;
                     }
--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -195,6 +195,12 @@
         let reply = ranges.and_then(|table| self.grant(now, table, &owner, authority));
         if let Some(reply) = &reply {
             state.granted = reply.ranges.iter().map(held).collect();
+            // What is held again will be released anew, with another text.
+            let is_held = |freed: &FreedRange| {
+                let mut ranges = reply.ranges.iter();
+                ranges.any(|range| range.first <= freed.last && freed.first <= range.last)
+            };
+            state.freed.retain(|freed| !is_held(freed));
             let hold = (reply.grant_ms as f64 * SLOW_CLOCK).ceil() as u64;
             state.held_until = now.plus(hold);
         }
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -174,6 +174,13 @@
         look(&self.endpoints.borrow())
     }
 
+    /// Drops what is known of instances that are gone for good.
+    pub fn forget_gone(&self) {
+        let beliefs = self.beliefs.borrow();
+        let is_present = |node: &Name| beliefs.instances.contains_key(node);
+        self.endpoints.borrow_mut().retain(is_present);
+    }
+
     /// Serves one caller's request.
     pub async fn serve(self: Rc<Self>, mut request: HttpRequest, read: Millis) -> HttpAnswer {
         let mut guard = CallerGuard {
--- a/crates/edge/tests/test_backend.rs
+++ b/crates/edge/tests/test_backend.rs
@@ -10,6 +10,7 @@
 use jy_types::endpoint::Announcement;
 use jy_types::endpoint::BackendLife;
 use jy_types::endpoint::BackendPhase;
+use jy_types::endpoint::FreedRange;
 use jy_types::endpoint::HeldRange;
 use jy_types::time::Millis;
 
@@ -192,3 +193,21 @@
     backend.announce(Millis(1), address(), announced(2), None, Millis(0));
     expect_that!(is_able(), eq(true));
 }
+
+#[gtest]
+fn announce_range_held_again_forgets_older_release() {
+    let backend = unheard();
+    let released = Announcement {
+        freed: vec![FreedRange {
+            first: 0,
+            last: 9,
+            handover: "old".into(),
+        }],
+        ..announced(1, 1)
+    };
+    let count = || backend.read(|state| state.map_or(0, |state| state.freed.len()));
+    backend.announce(Millis(0), address(), released, None, LONG);
+    expect_that!(count(), eq(1), "the next owner is to have it");
+    expect_that!(grant_ms(&backend, 1, 2, LONG), some(anything()));
+    expect_that!(count(), eq(0), "the keys came back");
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -77,7 +77,6 @@
     handle: HandleFn,
     limits: LimitsFn,
     closing: watch::Sender<bool>,
-    open: Rc<Cell<usize>>,
     running: Rc<Cell<usize>>,
 }
 
@@ -116,7 +115,6 @@
             handle,
             limits,
             closing: watch::Sender::new(false),
-            open: Rc::default(),
             running: Rc::default(),
         }
     }
@@ -144,12 +142,6 @@
         self.running.get()
     }
 
-    /// Open connections.
-    #[must_use]
-    pub fn open(&self) -> usize {
-        self.open.get()
-    }
-
     /// Accepts connections until the listener closes.
     async fn accept(&self, socket: TcpListener) {
         let mut closing = self.closing.subscribe();
@@ -173,7 +165,6 @@
 
     /// Serves one connection to its end.
     async fn connection(&self, stream: TcpStream) {
-        let _open = CountGuard::new(&self.open);
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("connection without nodelay: {error}");
         }
