--- a/crates/edge/src/keeper.rs
+++ b/crates/edge/src/keeper.rs
@@ -7,7 +7,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -36,7 +35,6 @@
 
 use crate::backend::BackendCell;
 use crate::beliefs::FleetBeliefs;
-use crate::beliefs::SeenWitnesses;
 use crate::beliefs::instance_key;
 use crate::beliefs::ranges_key;
 use crate::beliefs::witness_key;
@@ -44,8 +42,9 @@
 use crate::feed::RecordFeed;
 use crate::gate::OwnGate;
 use crate::gateway::CallerGateway;
+use crate::lost::LostOwner;
+use crate::lost::LostOwners;
 use crate::member::AUTHORITY_MARGIN_MS;
-use crate::member::AUTHORITY_MS;
 use crate::support::OwnSupport;
 
 /// Agents claim the keys of new lives within this time for each of them, in milliseconds, so that one does
@@ -76,10 +75,6 @@
 /// A backend server that refuses connections may be back this soon, in milliseconds.
 const RESTART_MS: u64 = 1_000;
 
-/// Lost owners whose keys are taken by one commit: the store takes 32 entries a commit, and each owner needs
-/// up to three.
-const MOST_LOST: usize = 10;
-
 /// What is needed to make a keeper.
 pub struct KeeperParts {
     /// Name of the instance.
@@ -112,10 +107,7 @@
     excess: Cell<LastingExcess>,
     /// When this agent claims keys for new lives, if no other has done it before.
     claim_due: Cell<Option<Millis>>,
-    /// Owners that their witnesses have denied, and the revision of the record that names these.
-    denied: RefCell<BTreeMap<Name, u64>>,
-    /// When the witnesses of an owner that they have not denied are asked again.
-    denial_due: RefCell<BTreeMap<Name, Millis>>,
+    lost: LostOwners,
     rng: RefCell<SmallRng>,
 }
 
@@ -129,15 +121,6 @@
     gone: Vec<LostOwner>,
 }
 
-/// An owner whose keys may be taken.
-#[derive(Clone, Debug)]
-struct LostOwner {
-    /// Name of the instance.
-    node: Name,
-    /// Revision of the record of the witnesses that have denied it; none if that does not matter any more.
-    witnesses: Option<u64>,
-}
-
 impl TableChange {
     /// Makes a change that rests on the table alone.
     const fn new(why: &'static str, table: RangeTable) -> Self {
@@ -168,8 +151,7 @@
             balanced: Cell::new(Millis::default()),
             excess: Cell::new(LastingExcess::new()),
             claim_due: Cell::new(None),
-            denied: RefCell::default(),
-            denial_due: RefCell::default(),
+            lost: LostOwners::new(),
             rng: RefCell::new(SmallRng::from_os_rng()),
         }
     }
@@ -210,7 +192,11 @@
         let Some(service) = service else {
             return Ok(false);
         };
-        self.deny_lost(&beliefs, &service).await;
+        let now = clock::now();
+        let rank_ms = self.rank_ms(&self.receivers(now, &beliefs, &service));
+        self.lost
+            .deny(now, &self.parts.support, &beliefs, &service, rank_ms)
+            .await;
         let Some(change) = self.due_change(&beliefs, &service) else {
             return Ok(true);
         };
@@ -227,45 +213,6 @@
         Ok(true)
     }
 
-    /// Has the witnesses of owners without a record deny them, so that their keys can be taken.
-    async fn deny_lost(&self, beliefs: &FleetBeliefs, service: &Name) {
-        for (node, seen) in self.deniable(beliefs, service) {
-            match self.parts.support.deny(&node, &seen.set).await {
-                Ok(()) => {
-                    self.denied.borrow_mut().insert(node, seen.revision);
-                }
-                Err(retry_ms) => {
-                    let due = clock::now().plus(retry_ms);
-                    self.denial_due.borrow_mut().insert(node, due);
-                }
-            }
-        }
-    }
-
-    /// Owners of a service's keys that have lost their records and may be denied by their witnesses.
-    fn deniable(&self, beliefs: &FleetBeliefs, service: &Name) -> Vec<(Name, SeenWitnesses)> {
-        let Some(seen) = beliefs.ranges.get(service) else {
-            return Vec::new();
-        };
-        let now = clock::now();
-        let wait_ms = self.rank_ms(&self.receivers(now, beliefs, service));
-        let denial_due = self.denial_due.borrow();
-        let is_due = |node: &Name| {
-            let since = beliefs.absent_since(node);
-            let is_ripe = denial_due.get(node).is_none_or(|due| now >= *due);
-            is_ripe && since.is_some_and(|since| now.since(since) >= wait_ms)
-        };
-        let owners = seen.table.ranges().iter().map(|range| &range.owner.node);
-        let lost: BTreeSet<&Name> = owners.filter(|node| is_due(node)).collect();
-        let denied = self.denied.borrow();
-        lost.into_iter()
-            .filter_map(|node| Some((Name::clone(node), beliefs.witnesses.get(node)?.clone())))
-            .filter(|(node, seen)| {
-                seen.set.is_deniable() && denied.get(node) != Some(&seen.revision)
-            })
-            .collect()
-    }
-
     /// Finds the change of a service's table that is due.
     fn due_change(&self, beliefs: &FleetBeliefs, service: &Name) -> Option<TableChange> {
         let now = clock::now();
@@ -494,7 +441,8 @@
 
     /// Takes over the keys of instances whose records are gone for longer than they may grant keys.
     fn take_over(&self, view: &KeeperView<'_>) -> Option<TableChange> {
-        let lost = self.lost_owners(view);
+        let rank_ms = self.rank_ms(view.receivers);
+        let lost = self.lost.list(view.now, view.beliefs, view.table, rank_ms);
         if lost.is_empty() || view.receivers.is_empty() {
             return None;
         }
@@ -508,28 +456,6 @@
         })
     }
 
-    /// Owners whose keys may be taken: their records are absent, and either their witnesses have denied them
-    /// or they can't grant keys any more without any support.
-    fn lost_owners(&self, view: &KeeperView<'_>) -> Vec<LostOwner> {
-        let wait_ms = AUTHORITY_MS + AUTHORITY_MARGIN_MS + self.rank_ms(view.receivers);
-        let denied = self.denied.borrow();
-        let lost = |node: &Name| {
-            let since = view.beliefs.absent_since(node)?;
-            let seen = view.beliefs.witnesses.get(node);
-            let revision = seen.map(|seen| seen.revision);
-            let is_denied = revision.is_some() && denied.get(node).copied() == revision;
-            let is_over = view.now.since(since) >= wait_ms;
-            (is_denied || is_over).then(|| LostOwner {
-                node: Name::clone(node),
-                witnesses: revision.filter(|_| is_denied),
-            })
-        };
-        let owners = view.table.ranges().iter().map(|range| &range.owner.node);
-        let owners: BTreeSet<&Name> = owners.collect();
-        let lost = owners.into_iter().filter_map(lost);
-        lost.take(MOST_LOST).collect()
-    }
-
     /// Gives keys to a newcomer, or to one with room when this owner is busy.
     fn balance(&self, view: &KeeperView<'_>) -> Option<TableChange> {
         let own = self.parts.backend.owner()?;
