edge, policy: large bodies are admitted by the receiving gate and paced

Ruled out: slots. The gates of log-vault used 40 % of them and logged no wait. Change: a gateway asks the gate before it sends a body of 16 kB or more. The gate admits two at a time, each at 40 % of its link, and refuses what would arrive too late before any of it was sent. The sender writes at that rate. The backlog is part of the reported load. The setting link_mbps is new.

--- a/crates/config/src/edge.rs
+++ b/crates/config/src/edge.rs
@@ -14,6 +14,11 @@
 use crate::tree::TreeNode;
 
 const MAX_PERIOD_MS: u64 = 600_000;
+/// Rate of a network link, in megabits per second.
+const MIN_LINK_MBPS: f64 = 0.1;
+const MAX_LINK_MBPS: f64 = 1_000_000.0;
+/// Link rate where the settings state none, in megabits per second.
+const DEFAULT_LINK_MBPS: f64 = 1_000.0;
 const MAX_RETRY_SLACK: f64 = 1_000_000.0;
 /// Minimum number of announcements per grant of keys, so that the keys survive one lost announcement.
 const MIN_ANNOUNCEMENTS_PER_GRANT: u64 = 2;
@@ -65,6 +70,8 @@
     pub listen: EdgeListen,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Rate of the instance's network link, in megabits per second.
+    pub link_mbps: f64,
     /// Log level.
     pub log_level: Name,
     /// Bounds that the operators of the deployment guarantee to their users.
@@ -91,6 +98,11 @@
     let backend = object.required("backend", log, address);
     let listen = object.required("listen", log, read_listen);
     let store = object.required("store", log, address);
+    let link_mbps = object.optional(
+        "link_mbps",
+        log,
+        reader::number(MIN_LINK_MBPS, MAX_LINK_MBPS),
+    );
     let log_level = object.optional("log_level", log, read_level);
     let bounds = object.required("bounds", log, read_bounds);
     object.finish(log);
@@ -101,6 +113,7 @@
         backend: backend?,
         listen: listen?,
         store: store?,
+        link_mbps: link_mbps.unwrap_or(DEFAULT_LINK_MBPS),
         log_level: log_level.unwrap_or_else(|| "info".into()),
         bounds: bounds?,
     })
--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -26,6 +26,7 @@
 use jy_platform::headers;
 use jy_platform::store::StoreClient;
 use jy_policy::budget::BudgetLimits;
+use jy_policy::transfer::bytes_per_ms;
 use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
 use jy_types::time::Millis;
@@ -57,6 +58,7 @@
 use crate::refusal;
 use crate::snapshot::FleetSnapshot;
 use crate::support::LocalSupport;
+use crate::transfer;
 
 /// Time from SIGTERM until the agent accepts no more requests, in milliseconds. The platform checks readiness
 /// once a second and stops sending callers after two negative answers.
@@ -138,6 +140,7 @@
         let metrics = Rc::new(EdgeMetrics::new());
         let refresh_requested = Rc::new(Notify::new());
         let bounds = settings.bounds;
+        let link_bytes_per_ms = bytes_per_ms(settings.link_mbps);
         let backend: SharedBackend = Rc::new(LocalBackend::new(
             Name::clone(&settings.name),
             now,
@@ -150,6 +153,7 @@
             Rc::clone(&backend),
             Rc::clone(&snapshot),
             Rc::clone(&metrics),
+            link_bytes_per_ms,
         ));
         let gateway = Rc::new(CallerGateway::new(GatewayParts {
             node: Name::clone(&settings.name),
@@ -157,6 +161,7 @@
             origin: Name::clone(&settings.service),
             gate: Rc::clone(&gate),
             snapshot: Rc::clone(&snapshot),
+            link_bytes_per_ms,
             budget: BudgetLimits {
                 ratio: bounds.retry_ratio,
                 slack: bounds.retry_slack,
@@ -356,8 +361,14 @@
         match request.path() {
             feed::FLEET_PATH => return Self::answer_relay(&request, self.fleet.clone()),
             feed::OPERATOR_PATH => return Self::answer_relay(&request, self.operator.clone()),
+            transfer::TRANSFER_PATH => {
+                return Box::pin(Rc::clone(&self.gate).answer_transfer(request));
+            }
             _ => {}
         }
+        if let Some(ticket) = transfer::ticket_of(&request) {
+            self.gate.end_transfer(ticket);
+        }
         if let Some(response) = self.support.answer(&request) {
             return Box::pin(async move { response });
         }
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -64,6 +64,7 @@
             } else {
                 NON_IDEMPOTENT_MAX_IDLE_MS
             },
+            max_bytes_per_ms: None,
         };
         let check = ResponseCheck {
             header: headers::REQUEST_ID,
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -309,6 +309,7 @@
             connect_timeout_ms: RELAY_CONNECT_TIMEOUT_MS,
             response_timeout_ms: self.part.relay_wait_ms() + RELAY_RESPONSE_TIMEOUT_MS,
             max_idle_ms: RELAY_MAX_IDLE_MS,
+            max_bytes_per_ms: None,
         };
         let response = match self.pool.send(to, &request, None, options).await {
             Ok(response) if response.status == StatusCode::OK => response,
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -3,16 +3,20 @@
 use std::net::SocketAddr;
 
 use actix_http::StatusCode;
+use actix_http::header::HeaderMap;
 use jy_http::message::HttpRequest;
 use jy_http::message::HttpResponse;
 use jy_http::message::header_text;
 use jy_http::message::set_header;
 use jy_http::pool::ConnectionPool;
 use jy_http::pool::SendOptions;
+use jy_kernel::clock;
 use jy_policy::choice::GateLoad;
 use jy_types::name::Name;
 use jy_types::time::Millis;
 
+use crate::transfer;
+
 /// Name of the route that the gateway found.
 const ROUTE_HEADER: &str = "jy-route";
 /// Service that is to run the request.
@@ -31,12 +35,13 @@
 const REASON_HEADER: &str = "jy-reason";
 /// Retry delay, in milliseconds.
 const RETRY_MS_HEADER: &str = "jy-retry-ms";
-/// Load of the gate: busy, slots, service time percent and used percent, separated by commas.
+/// Load of the gate: busy, slots, service time percent, used percent and, in milliseconds, the backlog of large
+/// bodies, separated by commas.
 const LOAD_HEADER: &str = "jy-load";
 
 /// Headers that are used between agents only. They are removed from callers' requests, and from forwarded
 /// requests and their answers after decoding, so that none leaves the fleet.
-const PEER_HEADERS: [&str; 10] = [
+const PEER_HEADERS: [&str; 11] = [
     ROUTE_HEADER,
     SERVICE_HEADER,
     ORIGIN_HEADER,
@@ -47,6 +52,7 @@
     REASON_HEADER,
     RETRY_MS_HEADER,
     LOAD_HEADER,
+    transfer::TICKET_HEADER,
 ];
 
 /// A round trip between agents takes 1 ms. A lost SYN packet is sent again only after a second, too late for
@@ -180,23 +186,41 @@
     }
 }
 
-/// Sends a request to the gate of another agent.
+/// Returns the options of a request to another agent's gate that is of use for `left_ms` milliseconds.
+pub(crate) fn send_options(left_ms: u64) -> SendOptions {
+    SendOptions {
+        connect_timeout_ms: CONNECT_TIMEOUT_MS.min(left_ms),
+        response_timeout_ms: left_ms + RESPONSE_SLACK_MS,
+        max_idle_ms: MAX_IDLE_MS,
+        max_bytes_per_ms: None,
+    }
+}
+
+/// Sends a request to the gate of another agent. A large body is sent once the gate has admitted it, at the
+/// gate's rate and at most at `own_bytes_per_ms`, the rate of this agent's link for one body.
 pub async fn send(
     pool: &ConnectionPool,
     address: SocketAddr,
     job: &GateJob,
-    now: Millis,
+    own_bytes_per_ms: u64,
 ) -> GateReport {
-    let left_ms = job.deadline.since(now);
-    let options = SendOptions {
-        connect_timeout_ms: CONNECT_TIMEOUT_MS.min(left_ms),
-        response_timeout_ms: left_ms + RESPONSE_SLACK_MS,
-        max_idle_ms: MAX_IDLE_MS,
+    let grant = if transfer::needs_grant(job.request.body.len() as u64) {
+        match transfer::request_grant(pool, address, job).await {
+            Ok(grant) => Some(grant),
+            Err(report) => return report,
+        }
+    } else {
+        None
     };
-    match pool
-        .send(address, &encode_job(job, now), None, options)
-        .await
-    {
+    let now = clock::now();
+    let mut request = encode_job(job, now);
+    let mut options = send_options(job.deadline.since(now));
+    if let Some(grant) = grant {
+        transfer::set_ticket(&mut request, grant);
+        let rate = grant.bytes_per_ms.unwrap_or(u64::MAX).min(own_bytes_per_ms);
+        options.max_bytes_per_ms = Some(rate.max(1));
+    }
+    match pool.send(address, &request, None, options).await {
         Ok(response) => decode_report(response),
         Err(error) if error.may_have_run() => {
             pool.close_idle(address);
@@ -218,7 +242,12 @@
 /// Encodes a job as an HTTP request.
 fn encode_job(job: &GateJob, now: Millis) -> HttpRequest {
     let mut request = job.request.clone();
-    let headers = &mut request.headers;
+    set_job_headers(&mut request.headers, job, now);
+    request
+}
+
+/// Sets the headers that describe a job to another agent's gate.
+pub(crate) fn set_job_headers(headers: &mut HeaderMap, job: &GateJob, now: Millis) {
     let (left_ms, objective_ms) = (job.deadline.since(now), job.objective.since(now));
     set_header(headers, ROUTE_HEADER, &job.route);
     set_header(headers, SERVICE_HEADER, &job.service);
@@ -228,7 +257,6 @@
     if let Some(key) = job.key {
         set_header(headers, KEY_HEADER, &key.to_string());
     }
-    request
 }
 
 /// Decodes a job from an HTTP request. Returns `None` if a required header is missing or invalid.
@@ -278,6 +306,7 @@
         load.slots,
         load.service_time_percent,
         load.used_percent,
+        load.transfer_backlog_ms,
     ];
     let text: Vec<String> = numbers.iter().map(ToString::to_string).collect();
     set_header(&mut response.headers, LOAD_HEADER, &text.join(","));
@@ -285,7 +314,7 @@
 }
 
 /// Decodes a report from an HTTP response.
-fn decode_report(mut response: HttpResponse) -> GateReport {
+pub(crate) fn decode_report(mut response: HttpResponse) -> GateReport {
     let load = header_text(&response.headers, LOAD_HEADER).and_then(decode_load);
     let reason: Option<Name> = header_text(&response.headers, REASON_HEADER).map(Name::from);
     let retry_ms =
@@ -314,11 +343,12 @@
         slots: numbers.next()??,
         service_time_percent: numbers.next()??,
         used_percent: numbers.next()??,
+        transfer_backlog_ms: numbers.next().flatten().unwrap_or_default(),
     })
 }
 
 /// Removes the headers that are used between agents only.
-pub fn remove_peer_headers(headers: &mut actix_http::header::HeaderMap) {
+pub fn remove_peer_headers(headers: &mut HeaderMap) {
     for name in PEER_HEADERS {
         headers.remove(name);
     }
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -21,6 +21,7 @@
 use jy_policy::moving::max_wait_ms;
 use jy_policy::offered::OfferedWork;
 use jy_policy::service_time::ServiceTimeMean;
+use jy_policy::transfer::TransferQueue;
 use jy_ranges::plan::bucket_of;
 use jy_types::endpoint::BackendIncarnation;
 use jy_types::name::Name;
@@ -68,6 +69,10 @@
     /// Signals a queued request, by its ticket, that it may start.
     pub(crate) start_senders: BTreeMap<u64, oneshot::Sender<()>>,
     pub(crate) offered_work: OfferedWork,
+    /// Large bodies that are received or wait for the link.
+    pub(crate) transfers: TransferQueue,
+    /// Signals a waiting large body, by its ticket, that it may be sent.
+    pub(crate) transfer_senders: BTreeMap<u64, oneshot::Sender<()>>,
     pub(crate) next_ticket: u64,
     pub(crate) incarnation: Option<BackendIncarnation>,
 }
@@ -102,7 +107,8 @@
 }
 
 impl LocalGate {
-    /// Creates a gate to the backend server at `address`.
+    /// Creates a gate to the backend server at `address`, on an instance whose link carries
+    /// `link_bytes_per_ms` bytes per millisecond.
     #[must_use]
     pub fn new(
         zone: Name,
@@ -110,6 +116,7 @@
         backend: SharedBackend,
         snapshot: Rc<SnapshotSender>,
         metrics: Rc<EdgeMetrics>,
+        link_bytes_per_ms: f64,
     ) -> Self {
         let state = GateState {
             queue: WorkQueue::new(1),
@@ -119,6 +126,8 @@
             reported_service_time: (Millis::default(), 100),
             start_senders: BTreeMap::new(),
             offered_work: OfferedWork::new(),
+            transfers: TransferQueue::new(link_bytes_per_ms),
+            transfer_senders: BTreeMap::new(),
             next_ticket: 0,
             incarnation: None,
         };
@@ -271,7 +280,7 @@
     /// # Errors
     ///
     /// Returns why it may not.
-    fn check_dispatchable(&self, now: Millis, job: &GateJob) -> Result<(), NotRunCause> {
+    pub(crate) fn check_dispatchable(&self, now: Millis, job: &GateJob) -> Result<(), NotRunCause> {
         if self.backend.is_closed() || now.plus(MIN_TIME_LEFT_MS) > job.deadline {
             return Err(NotRunCause::Unavailable);
         }
@@ -337,6 +346,17 @@
         });
     }
 
+    /// Returns the latest time at which a job may start to be answered within its latency objective, or within a
+    /// part of the time until its deadline if that is later.
+    pub(crate) fn latest_start(&self, now: Millis, job: &GateJob) -> Millis {
+        let work_ms = self
+            .rules(job)
+            .map_or(0.0, |(rule, _)| self.expected_service_time_ms(&rule));
+        let late_share = job.deadline.since(now) as f64 * MAX_QUEUE_WAIT_SHARE;
+        let on_time = job.objective.minus(work_ms as u64);
+        on_time.max(now.plus((late_share - work_ms).max(0.0) as u64))
+    }
+
     /// Returns the expected service time of a request on a route, in milliseconds.
     fn expected_service_time_ms(&self, rule: &RouteRule) -> f64 {
         let initial_ms = rule.objective_ms as f64 * INITIAL_SERVICE_TIME_SHARE;
@@ -430,10 +450,13 @@
             * reported_ratio.max(1.0);
         let used_share = state.offered_work.share(now, slots);
         GateLoad {
-            busy: state.queue.running() + state.queue.waiting(),
+            busy: state.queue.running()
+                + state.queue.waiting()
+                + u32::try_from(state.transfers.len()).unwrap_or(u32::MAX),
             slots,
             service_time_percent: ((service_time_ratio * 100.0) as u32).max(1),
             used_percent: (used_share * 100.0) as u32,
+            transfer_backlog_ms: state.transfers.backlog_ms(now) as u32,
         }
     }
 
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -22,8 +22,10 @@
 use jy_policy::budget::BudgetLimits;
 use jy_policy::budget::SendCounter;
 use jy_policy::choice::EndpointTable;
+use jy_policy::choice::PickDemand;
 use jy_policy::moving::TYPICAL_MOVE_GAP_MS;
 use jy_policy::moving::max_wait_ms;
+use jy_policy::transfer::transfer_rate;
 use jy_ranges::table::RangeOwner;
 use jy_types::name::Name;
 use jy_types::routing::RouteRule;
@@ -46,6 +48,7 @@
 use crate::refusal;
 use crate::request_log::RequestLog;
 use crate::snapshot::FleetSnapshot;
+use crate::transfer;
 
 /// Limit on the gates asked for one request. A gate refuses at once if it can't serve a request in time.
 const MAX_GATES_ASKED: usize = 4;
@@ -67,6 +70,8 @@
     budget: Cell<BudgetLimits>,
     pool: Rc<ConnectionPool>,
     rng: RefCell<SmallRng>,
+    /// Rate at which the agent's link carries one large body, in bytes per millisecond.
+    bytes_per_ms: u64,
     request_log: RequestLog,
     metrics: Rc<EdgeMetrics>,
     refresh_requested: Rc<Notify>,
@@ -84,6 +89,8 @@
     pub gate: Rc<LocalGate>,
     /// The latest snapshot of the fleet's records.
     pub snapshot: Rc<SnapshotSender>,
+    /// Rate of the instance's network link, in bytes per millisecond.
+    pub link_bytes_per_ms: f64,
     /// Limits on retries and hedges.
     pub budget: BudgetLimits,
     /// The agent's metrics.
@@ -162,6 +169,7 @@
             budget: Cell::new(parts.budget),
             pool: Rc::new(ConnectionPool::new()),
             rng: RefCell::new(SmallRng::from_os_rng()),
+            bytes_per_ms: transfer_rate(parts.link_bytes_per_ms) as u64,
             request_log: RequestLog::new(),
             metrics: parts.metrics,
             refresh_requested: parts.refresh_requested,
@@ -479,7 +487,11 @@
         };
         let mut rng = self.rng.borrow_mut();
         let endpoints = self.endpoints.borrow();
-        endpoints.pick(now, &choices, &call.tried, &mut *rng)
+        let mut demand = PickDemand::new(&call.tried);
+        if transfer::needs_grant(call.job.request.body.len() as u64) {
+            demand = demand.with_large_body(call.rule.objective_ms);
+        }
+        endpoints.pick(now, &choices, demand, &mut *rng)
     }
 
     /// Chooses an agent to hedge a slow request, if the attempts and the retry budget allow it.
@@ -520,7 +532,6 @@
 
     /// Starts an attempt at an agent.
     fn start_attempt(self: &Rc<Self>, call: &mut CallState, node: Name, attempts: &Attempts) {
-        let now = clock::now();
         call.attempts_started += 1;
         call.tried.insert(Name::clone(&node));
         call.in_flight += 1;
@@ -536,7 +547,9 @@
             let _guard = guard;
             let report = match address {
                 None => gateway.gate.serve(job).await,
-                Some(address) => forward::send(&gateway.pool, address, &job, now).await,
+                Some(address) => {
+                    forward::send(&gateway.pool, address, &job, gateway.bytes_per_ms).await
+                }
             };
             AttemptOutcome { node, report }
         }));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -1,7 +1,8 @@
 //! The agent for a platform whose backend servers announce themselves to the agent beside them.
 //!
 //! One agent process runs beside each backend server. Callers on the instance send their requests to it
-//! ([`gateway`]); a request reaches a backend server only through the agent beside that server ([`gate`]).
+//! ([`gateway`]); a request reaches a backend server only through the agent beside that server ([`gate`]). A
+//! large body is sent to another agent only once that agent has admitted it ([`transfer`]).
 //! The data that all agents must agree on is in the platform's store. Each agent watches it ([`feed`]) and
 //! keeps it in decoded form ([`snapshot`]). [`member`] maintains the agent's own record there, and
 //! [`range_manager`] the ranges of keys. [`support`] distinguishes owners of keys that are lost from those
@@ -22,3 +23,4 @@
 pub mod request_log;
 pub mod snapshot;
 pub mod support;
+pub mod transfer;
--- a/crates/edge/src/support.rs
+++ b/crates/edge/src/support.rs
@@ -224,6 +224,7 @@
             connect_timeout_ms: CONNECT_TIMEOUT_MS,
             response_timeout_ms: RESPONSE_TIMEOUT_MS,
             max_idle_ms: MAX_IDLE_CONNECTION_MS,
+            max_bytes_per_ms: None,
         };
         let request = request.with_header("host", "fleet");
         match self.pool.send(to, &request, None, options).await {
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -50,6 +50,9 @@
     idle_ms: 5_000,
 };
 
+/// Rate of the instance's link, in bytes per millisecond.
+const LINK_BYTES_PER_MS: f64 = 1_250.0;
+
 /// The incarnation of the other agent's backend server.
 fn incarnation() -> BackendIncarnation {
     BackendIncarnation {
@@ -155,6 +158,7 @@
         backend,
         Rc::clone(&snapshot),
         Rc::clone(&metrics),
+        LINK_BYTES_PER_MS,
     );
     Rc::new(CallerGateway::new(GatewayParts {
         node: "own".into(),
@@ -162,6 +166,7 @@
         origin: "s".into(),
         gate: Rc::new(gate),
         snapshot,
+        link_bytes_per_ms: LINK_BYTES_PER_MS,
         budget: BudgetLimits {
             ratio: 0.2,
             slack: 50.0,
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -28,6 +28,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
 use tokio::net::tcp::WriteHalf;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::message::HttpRequest;
@@ -52,6 +53,9 @@
 /// for the header's rounding to seconds, and 0.5 s for the request to reach the server.
 const REUSE_MARGIN_MS: u64 = 1_500;
 
+/// Interval between the writes of a request that is sent at a limited rate, in milliseconds.
+const PACED_WRITE_MS: u64 = 10;
+
 /// Header with the time that a server keeps an idle connection open.
 const KEEP_ALIVE: &str = "keep-alive";
 
@@ -174,7 +178,7 @@
         }
     }
 
-    /// Sends a request and reads its complete response.
+    /// Sends a request, at most at `max_bytes_per_ms`, and reads its complete response.
     ///
     /// # Errors
     ///
@@ -183,6 +187,7 @@
         mut self,
         request: &HttpRequest,
         check: Option<ResponseCheck<'_>>,
+        max_bytes_per_ms: Option<u64>,
     ) -> Result<ExchangeOutcome> {
         let to = self.to;
         let bytes = self.encode(request)?;
@@ -195,7 +200,7 @@
             let response_future =
                 read_matching_response(&mut reader, buffer, codec, check, is_head);
             tokio::pin!(response_future);
-            let write_future = write_counted(&mut writer, &bytes, &written);
+            let write_future = write_counted(&mut writer, &bytes, &written, max_bytes_per_ms);
             tokio::pin!(write_future);
             let mut write_failure: Option<Name> = None;
             loop {
@@ -312,7 +317,7 @@
     Some(seconds.saturating_mul(1_000))
 }
 
-/// Writes all bytes, and counts those written so far in `written`.
+/// Writes all bytes, at most at `max_bytes_per_ms`, and counts those written so far in `written`.
 ///
 /// # Errors
 ///
@@ -321,9 +326,23 @@
     writer: &mut WriteHalf<'_>,
     bytes: &[u8],
     written: &Cell<usize>,
+    max_bytes_per_ms: Option<u64>,
 ) -> std::io::Result<()> {
+    let started_at = clock::now();
     while written.get() < bytes.len() {
-        let count = writer.write(&bytes[written.get()..]).await?;
+        let end = match max_bytes_per_ms {
+            Some(rate) => {
+                let elapsed_ms = clock::now().since(started_at);
+                let due = rate.saturating_mul(elapsed_ms + PACED_WRITE_MS);
+                bytes.len().min(usize::try_from(due).unwrap_or(usize::MAX))
+            }
+            None => bytes.len(),
+        };
+        if end <= written.get() {
+            sleep(Duration::from_millis(PACED_WRITE_MS)).await;
+            continue;
+        }
+        let count = writer.write(&bytes[written.get()..end]).await?;
         if count == 0 {
             return Err(ErrorKind::WriteZero.into());
         }
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -24,6 +24,8 @@
     pub response_timeout_ms: u64,
     /// Connections that were idle for longer are not reused, in milliseconds.
     pub max_idle_ms: u64,
+    /// Rate at which the request is sent, in bytes per millisecond; `None` sends it as fast as possible.
+    pub max_bytes_per_ms: Option<u64>,
 }
 
 /// Idle connections, ready for another request.
@@ -55,7 +57,7 @@
             Some(connection) => connection,
             None => HttpConnection::connect(to, options.connect_timeout_ms).await?,
         };
-        let exchange_future = connection.exchange(request, check);
+        let exchange_future = connection.exchange(request, check, options.max_bytes_per_ms);
         let limit = Duration::from_millis(options.response_timeout_ms);
         let Ok(result) = timeout(limit, exchange_future).await else {
             let cause = "no answer in time".into();
--- a/crates/http/tests/test_exchange.rs
+++ b/crates/http/tests/test_exchange.rs
@@ -77,7 +77,7 @@
     };
     timeout(
         Duration::from_secs(EXCHANGE_TIMEOUT_S),
-        connection.exchange(&request, Some(check)),
+        connection.exchange(&request, Some(check), None),
     )
     .await
     .expect("the exchange did not end in time")
@@ -191,3 +191,47 @@
     );
     expect_that!(error.may_have_run(), eq(false));
 }
+
+/// Guards against large bodies that fill the receiver's link: a body that is sent at a limited rate takes the
+/// time that the rate implies.
+#[gtest]
+fn exchange_limited_rate_paces_body() {
+    const BODY_BYTES: usize = 100_000;
+    const BYTES_PER_MS: u64 = 1_000;
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("failed to bind a free port");
+        let to = listener
+            .local_addr()
+            .expect("failed to get the local address");
+        actix_rt::spawn(async move {
+            let (mut stream, _) = listener
+                .accept()
+                .await
+                .expect("failed to accept the connection");
+            let mut received = 0;
+            let mut buffer = vec![0_u8; BODY_BYTES];
+            while received < BODY_BYTES {
+                received += stream.read(&mut buffer).await.expect("failed to read");
+            }
+            stream
+                .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+                .await
+                .expect("failed to write the response");
+        });
+        let connection = HttpConnection::connect(to, 1_000)
+            .await
+            .expect("failed to connect");
+        let request = HttpRequest::new(Method::POST, "/p")
+            .with_header("host", "h")
+            .with_body(Bytes::from(vec![1_u8; BODY_BYTES]));
+        let started_at = std::time::Instant::now();
+        let outcome = connection
+            .exchange(&request, None, Some(BYTES_PER_MS))
+            .await;
+        expect_that!(outcome.is_ok(), eq(true));
+        let expected = Duration::from_millis(BODY_BYTES as u64 / BYTES_PER_MS - 20);
+        expect_that!(started_at.elapsed(), ge(expected));
+    });
+}
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -48,6 +48,8 @@
     pub service_time_percent: u32,
     /// Share of the capacity in use, in percent.
     pub used_percent: u32,
+    /// Time until the link to the gate would admit another large body, in milliseconds.
+    pub transfer_backlog_ms: u32,
 }
 
 /// An endpoint that may serve a request.
@@ -59,6 +61,33 @@
     pub is_same_zone: bool,
 }
 
+/// What a request asks of the endpoint that is chosen for it.
+#[derive(Clone, Copy, Debug)]
+pub struct PickDemand<'a> {
+    /// Instances that are not to be asked again.
+    pub tried: &'a BTreeSet<Name>,
+    /// Latency objective of a request with a large body, in milliseconds; `None` for any other request.
+    pub large_objective_ms: Option<u64>,
+}
+
+impl<'a> PickDemand<'a> {
+    /// Creates the demand of a request without a large body.
+    #[must_use]
+    pub const fn new(tried: &'a BTreeSet<Name>) -> Self {
+        Self {
+            tried,
+            large_objective_ms: None,
+        }
+    }
+
+    /// Sets the latency objective of a request with a large body, in milliseconds.
+    #[must_use]
+    pub const fn with_large_body(mut self, objective_ms: u64) -> Self {
+        self.large_objective_ms = Some(objective_ms);
+        self
+    }
+}
+
 /// State that a gateway keeps for one endpoint.
 #[derive(Clone, Copy, Debug, Default)]
 struct EndpointState {
@@ -149,12 +178,12 @@
         &self,
         now: Millis,
         choices: &[RouteChoice],
-        tried: &BTreeSet<Name>,
+        demand: PickDemand<'_>,
         rng: &mut impl Rng,
     ) -> Option<Name> {
         let untried: Vec<&RouteChoice> = choices
             .iter()
-            .filter(|choice| !tried.contains(&choice.node))
+            .filter(|choice| !demand.tried.contains(&choice.node))
             .collect();
         let reachable: Vec<&RouteChoice> = untried
             .iter()
@@ -169,13 +198,33 @@
         let compared = candidates
             .into_iter()
             .choose_multiple(rng, MAX_COMPARED_ENDPOINTS);
-        let cost = |choice: &&RouteChoice| self.cost(now, choice);
+        let cost = |choice: &&RouteChoice| {
+            self.cost(now, choice) + self.transfer_cost(now, choice, demand.large_objective_ms)
+        };
         let best = compared
             .iter()
             .min_by(|one, other| cost(one).total_cmp(&cost(other)))?;
         Some(Name::clone(&best.node))
     }
 
+    /// Returns the expected wait of a large body for the endpoint's link, as a multiple of the latency objective.
+    fn transfer_cost(
+        &self,
+        now: Millis,
+        choice: &RouteChoice,
+        large_objective_ms: Option<u64>,
+    ) -> f64 {
+        let Some(objective_ms) = large_objective_ms else {
+            return 0.0;
+        };
+        let endpoint = self.endpoints.get(&choice.node);
+        let backlog_ms = endpoint.map_or(0.0, |endpoint| {
+            let reported_ms = f64::from(endpoint.report.transfer_backlog_ms);
+            (reported_ms - now.since(endpoint.reported_at) as f64).max(0.0)
+        });
+        backlog_ms / objective_ms.max(1) as f64
+    }
+
     /// Returns the expected time to an answer as a multiple of the latency objective, increased for an endpoint
     /// in another availability zone and for failures.
     fn cost(&self, now: Millis, choice: &RouteChoice) -> f64 {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`moving`]: waiting for keys that move between backend servers.
 //! - [`offered`]: measurement of offered work and overload.
 //! - [`service_time`]: moving mean of service times.
+//! - [`transfer`]: admission of large bodies to a slow network link.
 
 pub mod admission;
 pub mod budget;
@@ -15,3 +16,4 @@
 pub mod moving;
 pub mod offered;
 pub mod service_time;
+pub mod transfer;
--- a/crates/policy/tests/test_choice.rs
+++ b/crates/policy/tests/test_choice.rs
@@ -5,6 +5,7 @@
 use googletest::prelude::*;
 use jy_policy::choice::EndpointTable;
 use jy_policy::choice::GateLoad;
+use jy_policy::choice::PickDemand;
 use jy_policy::choice::RouteChoice;
 use jy_types::name::Name;
 use jy_types::time::Millis;
@@ -16,6 +17,7 @@
     busy: 0,
     slots: 6,
     service_time_percent: 30,
+    transfer_backlog_ms: 0,
     used_percent: 10,
 };
 
@@ -31,7 +33,12 @@
 /// Picks an endpoint for a request that has not been tried anywhere.
 fn pick(table: &EndpointTable, now: u64, candidates: &[RouteChoice]) -> Option<Name> {
     let mut rng = SmallRng::seed_from_u64(1);
-    table.pick(Millis(now), candidates, &BTreeSet::new(), &mut rng)
+    table.pick(
+        Millis(now),
+        candidates,
+        PickDemand::new(&BTreeSet::new()),
+        &mut rng,
+    )
 }
 
 #[gtest]
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -91,6 +91,7 @@
             connect_timeout_ms: REQUEST_TIMEOUT_MS,
             response_timeout_ms: REQUEST_TIMEOUT_MS,
             max_idle_ms: REQUEST_TIMEOUT_MS * 10,
+            max_bytes_per_ms: None,
         };
         let mut outcome = CallerCounts::default();
         match pool.send(agent, &request, None, options).await {
