policy, edge: early gates refuse bodies that would wait, and bodies prefer their zone

Cause: uploads waited 300 ms on average for the link of the gate that was asked, since each gateway sends one a second and its load reports are old by then; three in four crossed zones. Change: the first gates that are asked admit a body only if it waits for less than 8 to 23 % of the time left to the objective, the last one as before; a large body pays 0.2 objectives for another zone; admitted bodies use 0.9 of a link instead of 0.8.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -186,6 +186,15 @@
     }
 }
 
+/// Limits on sending a large body.
+#[derive(Clone, Copy, Debug)]
+pub struct TransferLimits {
+    /// When the gate must have admitted the body.
+    pub admit_by: Millis,
+    /// Rate at which the agent's link carries one body, in bytes per millisecond.
+    pub bytes_per_ms: u64,
+}
+
 /// Returns the options of a request to another agent's gate that is of use for `left_ms` milliseconds.
 pub(crate) fn send_options(left_ms: u64) -> SendOptions {
     SendOptions {
@@ -197,15 +206,15 @@
 }
 
 /// Sends a request to the gate of another agent. A large body is sent once the gate has admitted it, at the
-/// gate's rate and at most at `own_bytes_per_ms`, the rate of this agent's link for one body.
+/// gate's rate and at most at the rate of this agent's link for one body.
 pub async fn send(
     pool: &ConnectionPool,
     address: SocketAddr,
     job: &GateJob,
-    own_bytes_per_ms: u64,
+    limits: TransferLimits,
 ) -> GateReport {
     let grant = if transfer::needs_grant(job.request.body.len() as u64) {
-        match transfer::request_grant(pool, address, job).await {
+        match transfer::request_grant(pool, address, job, limits.admit_by).await {
             Ok(grant) => Some(grant),
             Err(report) => return report,
         }
@@ -217,7 +226,10 @@
     let mut options = send_options(job.deadline.since(now));
     if let Some(grant) = grant {
         transfer::set_ticket(&mut request, grant);
-        let rate = grant.bytes_per_ms.unwrap_or(u64::MAX).min(own_bytes_per_ms);
+        let rate = grant
+            .bytes_per_ms
+            .unwrap_or(u64::MAX)
+            .min(limits.bytes_per_ms);
         options.max_bytes_per_ms = Some(rate.max(1));
     }
     match pool.send(address, &request, None, options).await {
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -25,6 +25,7 @@
 use jy_policy::choice::PickDemand;
 use jy_policy::moving::TYPICAL_MOVE_GAP_MS;
 use jy_policy::moving::max_wait_ms;
+use jy_policy::transfer::admit_by;
 use jy_policy::transfer::transfer_rate;
 use jy_ranges::table::RangeOwner;
 use jy_types::name::Name;
@@ -43,6 +44,7 @@
 use crate::forward::GateOutcome;
 use crate::forward::GateReport;
 use crate::forward::NotRunCause;
+use crate::forward::TransferLimits;
 use crate::gate::LocalGate;
 use crate::metrics::EdgeMetrics;
 use crate::refusal;
@@ -543,13 +545,21 @@
         };
         let gateway = Rc::clone(self);
         let address = self.gate_address(&node);
+        let limits = TransferLimits {
+            admit_by: admit_by(
+                clock::now(),
+                call.attempts_started,
+                MAX_GATES_ASKED,
+                job.objective,
+                job.deadline,
+            ),
+            bytes_per_ms: self.bytes_per_ms,
+        };
         attempts.push(Box::pin(async move {
             let _guard = guard;
             let report = match address {
                 None => gateway.gate.serve(job).await,
-                Some(address) => {
-                    forward::send(&gateway.pool, address, &job, gateway.bytes_per_ms).await
-                }
+                Some(address) => forward::send(&gateway.pool, address, &job, limits).await,
             };
             AttemptOutcome { node, report }
         }));
--- a/crates/edge/src/transfer.rs
+++ b/crates/edge/src/transfer.rs
@@ -36,6 +36,8 @@
 pub const TRANSFER_PATH: &str = "/jy/transfer";
 /// Size of the body, in bytes.
 const BODY_BYTES_HEADER: &str = "jy-body-bytes";
+/// Longest wait for admission, in milliseconds.
+const MAX_WAIT_MS_HEADER: &str = "jy-max-wait-ms";
 /// Ticket of an admitted body: in the gate's answer, and in the request that brings the body.
 pub const TICKET_HEADER: &str = "jy-transfer";
 /// Rate at which an admitted body is to be sent, in bytes per millisecond.
@@ -65,7 +67,7 @@
     }
 }
 
-/// Asks another agent's gate to admit the body of a job.
+/// Asks another agent's gate to admit the body of a job by the given time.
 ///
 /// # Errors
 ///
@@ -74,12 +76,15 @@
     pool: &ConnectionPool,
     address: SocketAddr,
     job: &GateJob,
+    admit_by: Millis,
 ) -> Result<TransferGrant, GateReport> {
     let now = clock::now();
     let mut request = HttpRequest::new(Method::POST, TRANSFER_PATH).with_header("host", "fleet");
     forward::set_job_headers(&mut request.headers, job, now);
     let body_bytes = job.request.body.len().to_string();
     set_header(&mut request.headers, BODY_BYTES_HEADER, &body_bytes);
+    let max_wait_ms = admit_by.since(now).to_string();
+    set_header(&mut request.headers, MAX_WAIT_MS_HEADER, &max_wait_ms);
     let options = forward::send_options(job.deadline.since(now));
     match pool.send(address, &request, None, options).await {
         Ok(response) if response.status == StatusCode::OK => Ok(decode_grant(&response)),
@@ -111,14 +116,19 @@
     /// Answers another agent that asks to send the body of a job.
     pub async fn answer_transfer(self: Rc<Self>, request: HttpRequest) -> HttpResponse {
         let now = clock::now();
-        let body_bytes = header_text(&request.headers, BODY_BYTES_HEADER);
-        let body_bytes = body_bytes.and_then(|text| text.parse().ok());
+        let number = |name| -> Option<u64> { header_text(&request.headers, name)?.parse().ok() };
+        let body_bytes = number(BODY_BYTES_HEADER);
+        let max_wait_ms = number(MAX_WAIT_MS_HEADER);
         let job = forward::decode_job(request, "transfer".into(), now);
-        let (Some(job), Some(body_bytes)) = (job, body_bytes) else {
+        let (Some(job), Some(body_bytes), Some(max_wait_ms)) = (job, body_bytes, max_wait_ms)
+        else {
             let reason = "a request for a transfer lacks its headers";
             return crate::refusal::rejected(StatusCode::BAD_REQUEST, reason);
         };
-        match self.admit_transfer(&job, body_bytes).await {
+        match self
+            .admit_transfer(&job, body_bytes, now.plus(max_wait_ms))
+            .await
+        {
             Ok(grant) => {
                 let mut response = HttpResponse::new(StatusCode::OK, "");
                 let fields = [
@@ -148,6 +158,7 @@
         self: &Rc<Self>,
         job: &GateJob,
         body_bytes: u64,
+        admit_by: Millis,
     ) -> Result<TransferGrant, GateOutcome> {
         let not_run = |cause, retry_ms| Err(GateOutcome::NotRun { cause, retry_ms });
         let now = clock::now();
@@ -161,6 +172,7 @@
             state.next_ticket += 1;
             let transfer_request = TransferRequest {
                 body_bytes,
+                admit_by,
                 useful_until,
             };
             match state.transfers.offer(now, ticket, transfer_request) {
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -21,6 +21,10 @@
 /// Cost factor of an endpoint in another availability zone, since traffic between zones is charged.
 const CROSS_ZONE_COST_FACTOR: f64 = 1.15;
 
+/// Cost added to an endpoint in another availability zone for a request with a large body, as a share of the
+/// latency objective.
+const LARGE_BODY_CROSS_ZONE_COST: f64 = 0.2;
+
 /// Time for which an endpoint is avoided after the first failure to reach it; doubled after each further one.
 const INITIAL_BACKOFF_MS: u64 = 250;
 
@@ -207,7 +211,8 @@
         Some(Name::clone(&best.node))
     }
 
-    /// Returns the expected wait of a large body for the endpoint's link, as a multiple of the latency objective.
+    /// Returns the cost of sending a large body to an endpoint: the expected wait for its link and the traffic
+    /// between zones, as a multiple of the latency objective.
     fn transfer_cost(
         &self,
         now: Millis,
@@ -222,7 +227,12 @@
             let reported_ms = f64::from(endpoint.report.transfer_backlog_ms);
             (reported_ms - now.since(endpoint.reported_at) as f64).max(0.0)
         });
-        backlog_ms / objective_ms.max(1) as f64
+        let zone_cost = if choice.is_same_zone {
+            0.0
+        } else {
+            LARGE_BODY_CROSS_ZONE_COST
+        };
+        backlog_ms / objective_ms.max(1) as f64 + zone_cost
     }
 
     /// Returns the expected time to an answer as a multiple of the latency objective, increased for an endpoint
--- a/crates/policy/src/transfer.rs
+++ b/crates/policy/src/transfer.rs
@@ -13,11 +13,15 @@
 pub const LARGE_BODY_BYTES: u64 = 16 * 1024;
 
 /// Share of the link that all admitted bodies use together. The rest carries other messages without a queue.
-const TRANSFER_LINK_SHARE: f64 = 0.8;
+const TRANSFER_LINK_SHARE: f64 = 0.9;
 
 /// Number of bodies that are received at once: with two, the link is used while one sender is slow.
 const MAX_TRANSFERS: usize = 2;
 
+/// Longest wait for the link at a gate that is not the last one asked, as a share of the time left until the
+/// latency objective.
+const MAX_EARLY_WAIT_SHARE: f64 = 0.3;
+
 /// An admitted body counts as lost after this multiple of its transfer time, and [`EXPIRY_SLACK_MS`].
 const EXPIRY_FACTOR: f64 = 2.0;
 
@@ -29,6 +33,8 @@
 pub struct TransferRequest {
     /// Size of the body, in bytes.
     pub body_bytes: u64,
+    /// The body is refused if it can't be admitted by this time, as its sender then asks another gate.
+    pub admit_by: Millis,
     /// The transfer must end by this time to be of use.
     pub useful_until: Millis,
 }
@@ -66,6 +72,24 @@
     mbps * 1_000_000.0 / 8.0 / 1_000.0
 }
 
+/// Returns the latest time at which a body is to be admitted by the gate that is asked as number `attempt` of
+/// `max_attempts`. Gates that are asked early refuse unless their link is nearly idle, since asking another one
+/// takes less time than waiting; the last one may let the body wait until `deadline`.
+#[must_use]
+pub fn admit_by(
+    now: Millis,
+    attempt: usize,
+    max_attempts: usize,
+    objective: Millis,
+    deadline: Millis,
+) -> Millis {
+    if attempt >= max_attempts {
+        return deadline;
+    }
+    let share = MAX_EARLY_WAIT_SHARE * attempt as f64 / max_attempts as f64;
+    now.plus((objective.since(now) as f64 * share) as u64)
+}
+
 /// Returns the rate at which one body is sent over a link, in bytes per millisecond.
 #[must_use]
 pub fn transfer_rate(link_bytes_per_ms: f64) -> f64 {
@@ -99,7 +123,8 @@
         self.expire(now);
         let wait_ms = self.backlog_ms(now);
         let end = now.plus((wait_ms + self.duration_ms(request.body_bytes)) as u64);
-        if wait_ms > 0.0 && end > request.useful_until {
+        let is_too_late = end > request.useful_until || now.plus(wait_ms as u64) > request.admit_by;
+        if wait_ms > 0.0 && is_too_late {
             let retry_ms = wait_ms as u64;
             return TransferAdmission::Refused { retry_ms };
         }
--- a/crates/policy/tests/test_transfer.rs
+++ b/crates/policy/tests/test_transfer.rs
@@ -4,6 +4,7 @@
 use jy_policy::transfer::TransferAdmission;
 use jy_policy::transfer::TransferQueue;
 use jy_policy::transfer::TransferRequest;
+use jy_policy::transfer::admit_by;
 use jy_policy::transfer::bytes_per_ms;
 use jy_types::time::Millis;
 
@@ -13,6 +14,7 @@
 /// A body of 60 kB, which such a link carries in 48 ms.
 const BODY: TransferRequest = TransferRequest {
     body_bytes: 60_000,
+    admit_by: Millis(10_000),
     useful_until: Millis(10_000),
 };
 
@@ -96,6 +98,28 @@
     );
 }
 
+/// A gate that is asked early refuses a body that would wait, so that the sender tries an idle link instead.
+#[gtest]
+fn admit_by_early_gate_prefers_idle_link() {
+    let (now, objective, deadline) = (Millis(0), Millis(1_000), Millis(6_000));
+    let mut busy = slow_link();
+    for ticket in 0..8 {
+        busy.offer(now, ticket, BODY);
+        busy.start(now);
+    }
+    let offer = |queue: &mut TransferQueue, attempt| {
+        let request = TransferRequest {
+            admit_by: admit_by(now, attempt, 4, objective, deadline),
+            ..BODY
+        };
+        queue.offer(now, 100 + attempt as u64, request)
+    };
+    let is_refused = matches!(offer(&mut busy, 1), TransferAdmission::Refused { .. });
+    expect_that!(is_refused, eq(true));
+    expect_that!(offer(&mut slow_link(), 1), eq(TransferAdmission::Queued));
+    expect_that!(offer(&mut busy, 4), eq(TransferAdmission::Queued));
+}
+
 /// Guards against a link that stays blocked after the senders of admitted bodies were lost.
 #[gtest]
 fn start_lost_senders_admits_next_body() {
