edge, policy: leaving owners serve their keys until these are released

An owner that left while its agent was cut off from the store kept its keys for 8 s (4,131 refusals at one instance), since its witnesses went on supporting it. Change: requests for held keys are sent to a leaving backend server up to 300 ms before the end of its drain; its announcement is answered once the table moves its keys, so that it releases them at once; an owner that leaves without the store asks for no more support. The setting bounds.drain_ms is new.

--- a/crates/config/src/edge.rs
+++ b/crates/config/src/edge.rs
@@ -14,6 +14,8 @@
 use crate::tree::TreeNode;
 
 const MAX_PERIOD_MS: u64 = 600_000;
+/// How long a backend server serves after it has begun to leave where the settings do not say, in milliseconds.
+const DEFAULT_DRAIN_MS: u64 = 2_000;
 /// Rate of a network link, in megabits per second.
 const MIN_LINK_MBPS: f64 = 0.1;
 const MAX_LINK_MBPS: f64 = 1_000_000.0;
@@ -47,6 +49,8 @@
     pub longest_grant_ms: u64,
     /// Time from SIGTERM to SIGKILL, in milliseconds.
     pub grace_ms: u64,
+    /// How long a backend server serves after it has begun to leave, in milliseconds.
+    pub drain_ms: u64,
     /// Maximum number of extra sends, as a share of a service's requests.
     pub retry_ratio: f64,
     /// Number of extra sends allowed beyond that share, summed over all agents.
@@ -159,6 +163,7 @@
     let announce_every = object.required("announce_every_ms", log, &period);
     let longest_grant = object.required("longest_grant_ms", log, &period);
     let grace = object.required("grace_s", log, reader::number(0.1, 600.0));
+    let drain = object.optional("drain_ms", log, reader::number(0.0, 600_000.0));
     let ratio = object.required("retry_ratio", log, reader::number(0.0, 10.0));
     let slack = object.required("retry_slack", log, reader::number(0.0, MAX_RETRY_SLACK));
     let window = object.required("retry_window_s", log, reader::number(0.1, 600.0));
@@ -167,6 +172,7 @@
         announce_every_ms: announce_every?,
         longest_grant_ms: longest_grant?,
         grace_ms: (grace? * 1_000.0) as u64,
+        drain_ms: drain.map_or(DEFAULT_DRAIN_MS, |drain_ms| drain_ms as u64),
         retry_ratio: ratio?,
         retry_slack: slack?,
         retry_window_ms: (window? * 1_000.0) as u64,
--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -27,6 +27,7 @@
 use jy_platform::store::StoreClient;
 use jy_policy::budget::BudgetLimits;
 use jy_policy::transfer::bytes_per_ms;
+use jy_types::endpoint::Announcement;
 use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
 use jy_types::time::Millis;
@@ -35,6 +36,7 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::sleep;
+use tokio::time::timeout;
 use uuid::Uuid;
 
 use crate::backend::AnnounceOutcome;
@@ -65,6 +67,9 @@
 const CALLER_DRAIN_MS: u64 = 2_500;
 /// Time before the SIGKILL at which the agent stops waiting for running requests, in milliseconds.
 const SHUTDOWN_MARGIN_MS: u64 = 700;
+/// Longest delay of the answer to a backend server that leaves, in milliseconds. The platform takes an answer
+/// that comes within a second.
+const MAX_LEAVING_REPLY_MS: u64 = 400;
 const SHUTDOWN_POLL_MS: u64 = 20;
 /// The settings file is polled because it may change without a signal.
 const SETTINGS_POLL_MS: u64 = 1_000;
@@ -141,12 +146,15 @@
         let refresh_requested = Rc::new(Notify::new());
         let bounds = settings.bounds;
         let link_bytes_per_ms = bytes_per_ms(settings.link_mbps);
-        let backend: SharedBackend = Rc::new(LocalBackend::new(
-            Name::clone(&settings.name),
-            now,
-            bounds.longest_grant_ms,
-            bounds.announce_every_ms,
-        ));
+        let backend: SharedBackend = Rc::new(
+            LocalBackend::new(
+                Name::clone(&settings.name),
+                now,
+                bounds.longest_grant_ms,
+                bounds.announce_every_ms,
+            )
+            .with_drain_ms(bounds.drain_ms),
+        );
         let gate = Rc::new(LocalGate::new(
             Name::clone(&settings.zone),
             settings.backend,
@@ -317,8 +325,8 @@
             Box::pin(async move { response })
         });
         let announce: Handler = Rc::new(move |request, _| {
-            let response = announce_agent.answer_announcement(&request);
-            Box::pin(async move { response })
+            let agent = Rc::clone(&announce_agent);
+            Box::pin(async move { agent.answer_announcement(&request).await })
         });
         let metrics: Handler = Rc::new(move |_, _| {
             let response = metrics_agent.answer_metrics();
@@ -420,7 +428,7 @@
     }
 
     /// Answers an announcement of the backend server.
-    fn answer_announcement(&self, request: &HttpRequest) -> HttpResponse {
+    async fn answer_announcement(&self, request: &HttpRequest) -> HttpResponse {
         let id = match announce::announced_id(request.path()) {
             Ok(id) => id,
             Err(error) => {
@@ -428,7 +436,7 @@
             }
         };
         if request.method == Method::DELETE {
-            self.backend.mark_ended(&id);
+            self.backend.mark_ended(clock::now(), &id);
             return HttpResponse::new(StatusCode::OK, "{}");
         }
         let announced = match announce::decode(id, &request.body) {
@@ -438,6 +446,7 @@
                 return refusal::rejected(StatusCode::BAD_REQUEST, &error.to_string());
             }
         };
+        self.wait_for_moves(&announced).await;
         let snapshot = Rc::clone(&self.snapshot.borrow());
         let ranges = snapshot.ranges.get(&announced.service);
         let table = ranges.map(|ranges| &*ranges.table);
@@ -467,6 +476,33 @@
         }
     }
 
+    /// Waits until the keys of a leaving backend server are marked for their next owners, for at most
+    /// [`MAX_LEAVING_REPLY_MS`].
+    async fn wait_for_moves(&self, announced: &Announcement) {
+        let keeps_keys = |snapshot: &FleetSnapshot| {
+            let ranges = snapshot.ranges.get(&announced.service);
+            ranges.is_some_and(|ranges| {
+                self.backend
+                    .keeps_keys_while_leaving(announced, &ranges.table)
+            })
+        };
+        let mut updates = self.snapshot.subscribe();
+        if !keeps_keys(&updates.borrow()) {
+            return;
+        }
+        self.backend.mark_leaving(clock::now(), announced);
+        let moved = updates.wait_for(|snapshot| !keeps_keys(snapshot));
+        if timeout(Duration::from_millis(MAX_LEAVING_REPLY_MS), moved)
+            .await
+            .is_err()
+        {
+            log::info!(
+                "belief backend={} leaves with its keys: no move within {MAX_LEAVING_REPLY_MS} ms",
+                announced.incarnation.id
+            );
+        }
+    }
+
     /// Answers with all metrics as text.
     fn answer_metrics(&self) -> HttpResponse {
         let now = clock::now();
--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use jy_policy::leaving;
 use jy_ranges::table::KeyRange;
 use jy_ranges::table::RangeOwner;
 use jy_ranges::table::RangeTable;
@@ -42,6 +43,8 @@
     pub refuses: bool,
     /// Whether it reported its own end.
     pub ended: bool,
+    /// When it first reported that it leaves.
+    pub leaving_since: Option<Millis>,
     /// Whether it has rejected a request as meant for another backend server since then.
     pub disowned: bool,
     /// The ranges of the newest grant.
@@ -70,6 +73,8 @@
     agent_started: Millis,
     longest_grant_ms: u64,
     announce_interval_ms: u64,
+    /// How long a backend server serves after it has begun to leave, in milliseconds.
+    drain_ms: u64,
     is_closed: Cell<bool>,
     changes: watch::Sender<u64>,
 }
@@ -89,11 +94,19 @@
             agent_started,
             longest_grant_ms,
             announce_interval_ms,
+            drain_ms: 0,
             is_closed: Cell::new(false),
             changes: watch::Sender::new(0),
         }
     }
 
+    /// Sets how long a backend server serves after it has begun to leave, in milliseconds.
+    #[must_use]
+    pub const fn with_drain_ms(mut self, drain_ms: u64) -> Self {
+        self.drain_ms = drain_ms;
+        self
+    }
+
     /// Returns a receiver that is notified of every change.
     #[must_use]
     pub fn subscribe(&self) -> watch::Receiver<u64> {
@@ -116,19 +129,37 @@
         })
     }
 
-    /// Returns the backend server's entry in the agent's record, or `None` if it is not alive.
+    /// Returns the backend server's entry in the agent's record, or `None` if its process is not running.
     #[must_use]
     pub fn listed(&self) -> Option<ListedBackend> {
         let state = self.state.borrow();
-        let state = state.as_ref().filter(|state| state.is_alive())?;
+        let state = state
+            .as_ref()
+            .filter(|state| state.is_alive() || (state.is_running() && self.drain_ms > 0))?;
+        let phase = if state.leaving_since.is_some() {
+            BackendPhase::Draining
+        } else {
+            state.announced.phase
+        };
         Some(ListedBackend {
             incarnation: state.announced.incarnation.clone(),
             service: Name::clone(&state.announced.service),
             slots: state.announced.slots,
-            phase: state.announced.phase,
+            phase,
         })
     }
 
+    /// Whether the backend server may be sent a request now: any if it is serving, and those for the keys that
+    /// it holds for some time after it has begun to leave.
+    #[must_use]
+    pub fn accepts(&self, now: Millis, state: &BackendState, is_keyed: bool) -> bool {
+        let leaves_soon = || {
+            let since = state.leaving_since;
+            since.is_some_and(|since| now < leaving::serve_until(since, self.drain_ms))
+        };
+        state.is_serving() || (is_keyed && state.is_running() && !state.disowned && leaves_soon())
+    }
+
     /// Whether no announcement has arrived, but the first one may still be due since the agent has just
     /// started.
     #[must_use]
@@ -184,12 +215,16 @@
             last_heard: now,
             refuses: false,
             ended: false,
+            leaving_since: None,
             disowned: false,
             granted: Vec::new(),
             held_until: now.plus(self.longest_grant_ms),
             released: Vec::new(),
         });
         state.released.extend(announced.released.iter().cloned());
+        if announced.phase == BackendPhase::Draining {
+            state.leaving_since.get_or_insert(now);
+        }
         state.announced = announced;
         state.last_heard = now;
         state.refuses = false;
@@ -243,8 +278,34 @@
         Some(GrantReply { ranges, grant_ms })
     }
 
+    /// Whether the backend server leaves and the newest table still leaves keys with it. Its announcement is
+    /// then answered once the table moves them, so that it releases them without waiting for its next one.
+    #[must_use]
+    pub fn keeps_keys_while_leaving(&self, announced: &Announcement, table: &RangeTable) -> bool {
+        let owner = RangeOwner {
+            node: Name::clone(&self.node),
+            incarnation: announced.incarnation.clone(),
+        };
+        announced.phase == BackendPhase::Draining
+            && table.owned(&owner).any(|range| range.next_owner.is_none())
+    }
+
+    /// Records that the backend server leaves, before its announcement is answered.
+    pub fn mark_leaving(&self, now: Millis, announced: &Announcement) {
+        let mut current = self.state.borrow_mut();
+        let Some(state) = current.as_mut() else {
+            return;
+        };
+        if state.announced.incarnation != announced.incarnation || state.leaving_since.is_some() {
+            return;
+        }
+        state.leaving_since = Some(now);
+        drop(current);
+        self.changes.send_modify(|count| *count += 1);
+    }
+
     /// Marks the backend server as ended, as it has reported.
-    pub fn mark_ended(&self, id: &str) {
+    pub fn mark_ended(&self, now: Millis, id: &str) {
         let mut current = self.state.borrow_mut();
         let Some(state) = current.as_mut() else {
             return;
@@ -252,6 +313,7 @@
         if *state.announced.incarnation.id == *id {
             log::info!("belief backend={id} reported its end");
             state.ended = true;
+            state.leaving_since.get_or_insert(now);
         }
         drop(current);
         self.changes.send_modify(|count| *count += 1);
@@ -318,10 +380,21 @@
         !self.refuses && !self.ended
     }
 
-    /// Whether it accepts new requests.
+    /// Whether the process is considered to be running. One that reports its end without having announced that
+    /// it leaves serves for some more time.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        let is_drained = self.ended && self.announced.phase == BackendPhase::Draining;
+        !self.refuses && !is_drained
+    }
+
+    /// Whether it accepts all new requests.
     #[must_use]
     pub fn is_serving(&self) -> bool {
-        self.is_alive() && !self.disowned && self.announced.phase == BackendPhase::Serving
+        self.is_alive()
+            && !self.disowned
+            && self.leaving_since.is_none()
+            && self.announced.phase == BackendPhase::Serving
     }
 
     /// Whether it is considered to hold a key: by the newest grant until that expires or, if the grant has no
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -39,7 +39,7 @@
     /// Sends a request to the backend server and waits for its response.
     pub(crate) async fn dispatch(&self, job: &GateJob, rule: &RouteRule) -> GateOutcome {
         let sent_at = clock::now();
-        let Some(target) = self.dispatch_target() else {
+        let Some(target) = self.dispatch_target(sent_at, job.key) else {
             return GateOutcome::NotRun {
                 cause: NotRunCause::Unavailable,
                 retry_ms: UNAVAILABLE_RETRY_MS,
@@ -80,10 +80,10 @@
         }
     }
 
-    /// Returns the backend server to send to, if it is serving.
-    fn dispatch_target(&self) -> Option<DispatchTarget> {
+    /// Returns the backend server to send to, if it accepts the request.
+    fn dispatch_target(&self, now: Millis, key: Option<u16>) -> Option<DispatchTarget> {
         let incarnation = self.backend.read(|state| {
-            let state = state.filter(|state| state.is_serving())?;
+            let state = state.filter(|state| self.backend.accepts(now, state, key.is_some()))?;
             Some(state.announced.incarnation.clone())
         })?;
         let address = self.address.get();
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -291,7 +291,7 @@
         let is_keyed = is_keyed(&snapshot, &job.service);
         self.backend.read(|state| {
             let state = state
-                .filter(|state| state.is_serving())
+                .filter(|state| self.backend.accepts(now, state, is_keyed))
                 .filter(|state| state.announced.service == job.service)
                 .ok_or(NotRunCause::Unavailable)?;
             match job.key.filter(|_| is_keyed) {
--- a/crates/edge/src/range_manager.rs
+++ b/crates/edge/src/range_manager.rs
@@ -16,6 +16,7 @@
 use jy_platform::store::StoreClient;
 use jy_platform::store::StoreCommit;
 use jy_platform::store::StoreWrite;
+use jy_policy::leaving;
 use jy_policy::offered::SustainedOverload;
 use jy_ranges::plan;
 use jy_ranges::plan::RangeMove;
@@ -194,6 +195,13 @@
         let snapshot = Rc::clone(&self.parts.snapshot.borrow());
         let service = self.managed_service(&snapshot);
         self.parts.support.set_wanted(service.is_some());
+        let is_leaving = self
+            .parts
+            .backend
+            .read(|state| state.is_some_and(|state| state.leaving_since.is_some()));
+        let is_store_lost = self.parts.feed.state.borrow().lost.is_some();
+        let is_needed = leaving::needs_support(is_leaving, is_store_lost);
+        self.parts.support.set_paused(!is_needed);
         let Some(service) = service else {
             return Ok(false);
         };
@@ -443,7 +451,8 @@
                 let is_dead =
                     state.refuses && context.now.since(state.last_heard) >= RESTART_GRACE_MS;
                 let is_draining = state.announced.phase == BackendPhase::Draining;
-                is_zone_out || is_silent || is_dead || is_draining || state.ended
+                let is_leaving = is_draining || state.leaving_since.is_some();
+                is_zone_out || is_silent || is_dead || is_leaving || state.ended
             })
         })
     }
--- a/crates/edge/src/support.rs
+++ b/crates/edge/src/support.rs
@@ -85,6 +85,7 @@
     pool: ConnectionPool,
     /// Whether the agent needs witnesses, because it manages the key ranges of a service.
     is_wanted: Cell<bool>,
+    is_paused: Cell<bool>,
     /// Since when the recorded set has differed from the one that would be chosen.
     stale_since: Cell<Option<Millis>>,
     /// Witnesses whose promise expired, and until when they are not chosen.
@@ -104,12 +105,20 @@
             promises: RefCell::new(WitnessPromises::new(run, clock::now())),
             pool: ConnectionPool::new(),
             is_wanted: Cell::new(false),
+            is_paused: Cell::new(false),
             stale_since: Cell::new(None),
             avoided: RefCell::default(),
             changed: Notify::new(),
         }
     }
 
+    /// Sets whether no support is requested, so that the agent's authority ends with the support that it has.
+    pub fn set_paused(&self, is_paused: bool) {
+        if self.is_paused.replace(is_paused) != is_paused {
+            log::info!("decision support paused={is_paused}");
+        }
+    }
+
     /// Sets whether the agent needs witnesses, which it does while it manages the key ranges of a service.
     pub fn set_wanted(&self, is_wanted: bool) {
         self.is_wanted.set(is_wanted);
@@ -130,7 +139,9 @@
                 changed.await;
                 continue;
             }
-            self.request_all_support();
+            if !self.is_paused.get() {
+                self.request_all_support();
+            }
             let _is_changed = timeout(Duration::from_millis(SUPPORT_INTERVAL_MS), changed).await;
         }
     }
--- a/crates/edge/tests/test_backend.rs
+++ b/crates/edge/tests/test_backend.rs
@@ -18,6 +18,8 @@
 const LONGEST_GRANT_MS: u64 = 10_000;
 /// Time between announcements, in milliseconds.
 const ANNOUNCE_INTERVAL_MS: u64 = 1_000;
+/// Time for which the backend server serves after it has begun to leave, in milliseconds.
+const DRAIN_MS: u64 = 2_000;
 /// An authority that does not limit any grant in these tests.
 const UNLIMITED: Millis = Millis(1_000_000);
 
@@ -120,7 +122,7 @@
 fn announce_after_end_stays_ended() {
     let backend = unannounced_backend();
     backend.announce(Millis(0), address(), announcement(1, 1), None, UNLIMITED);
-    backend.mark_ended("i-1");
+    backend.mark_ended(Millis(0), "i-1");
     let outcome = backend.announce(Millis(10), address(), announcement(1, 2), None, UNLIMITED);
     expect_that!(outcome, eq(&AnnounceOutcome::Outdated));
     expect_that!(backend.listed(), none());
@@ -239,3 +241,61 @@
         "the keys are granted to the same backend server again"
     );
 }
+
+/// Returns an agent's state in which a backend server holds all keys and serves for [`DRAIN_MS`] after it has
+/// begun to leave.
+fn holding_backend() -> LocalBackend {
+    let backend = unannounced_backend().with_drain_ms(DRAIN_MS);
+    expect_that!(
+        grant_ms(&backend, 0, 1, UNLIMITED),
+        some(gt(ANNOUNCE_INTERVAL_MS))
+    );
+    backend
+}
+
+/// Returns whether a request with or without a key may be sent to the backend server.
+fn accepts(backend: &LocalBackend, now: u64, is_keyed: bool) -> bool {
+    backend.read(|state| state.is_some_and(|state| backend.accepts(Millis(now), state, is_keyed)))
+}
+
+/// Announces that the backend server leaves.
+fn announce_leaving(backend: &LocalBackend, now: u64, sequence: u64) {
+    let leaving = Announcement {
+        phase: BackendPhase::Draining,
+        ..announcement(1, sequence)
+    };
+    backend.announce(Millis(now), address(), leaving, None, UNLIMITED);
+}
+
+/// Guards against keys without service while their owner waits to hand them over: it still runs requests.
+#[gtest]
+fn accepts_leaving_owner_serves_keys_until_drained() {
+    let backend = holding_backend();
+    announce_leaving(&backend, 100, 2);
+    expect_that!(accepts(&backend, 200, true), eq(true));
+    expect_that!(accepts(&backend, 200, false), eq(false), "no key");
+    announce_leaving(&backend, 1_100, 3);
+    expect_that!(
+        accepts(&backend, 100 + DRAIN_MS, true),
+        eq(false),
+        "the time counts from the first report"
+    );
+}
+
+#[gtest]
+fn accepts_ended_without_notice_serves_keys_until_drained() {
+    let backend = holding_backend();
+    backend.mark_ended(Millis(100), "i-1");
+    expect_that!(accepts(&backend, 200, true), eq(true));
+    expect_that!(accepts(&backend, 200, false), eq(false));
+    expect_that!(accepts(&backend, 100 + DRAIN_MS, true), eq(false));
+}
+
+/// A backend server that reports its end after it has drained exits at once.
+#[gtest]
+fn accepts_ended_after_draining_takes_nothing() {
+    let backend = holding_backend();
+    announce_leaving(&backend, 100, 2);
+    backend.mark_ended(Millis(200), "i-1");
+    expect_that!(accepts(&backend, 201, true), eq(false));
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`budget`]: limit on extra sends, which are retries of failed requests and hedges of slow ones.
 //! - [`choice`]: load balancing among backend servers of different speeds.
 //! - [`cold`]: rate limit for a backend server in cold start.
+//! - [`leaving`]: requests for the keys of a backend server that leaves.
 //! - [`moving`]: waiting for keys that move between backend servers.
 //! - [`offered`]: measurement of offered work and overload.
 //! - [`service_time`]: moving mean of service times.
@@ -13,6 +14,7 @@
 pub mod budget;
 pub mod choice;
 pub mod cold;
+pub mod leaving;
 pub mod moving;
 pub mod offered;
 pub mod service_time;
