policy: large bodies stay on their instance where its backend server can run them

Cause: one upload in ten enters at an instance that runs its service, and was sent over the link of another all the same. Change: a large body compares all endpoints, and pays 0.2 objectives for any link.

--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -22,6 +22,7 @@
 use jy_policy::budget::BudgetLimits;
 use jy_policy::budget::SendCounter;
 use jy_policy::choice::EndpointTable;
+use jy_policy::choice::LargeBody;
 use jy_policy::choice::PickDemand;
 use jy_policy::moving::TYPICAL_MOVE_GAP_MS;
 use jy_policy::moving::max_wait_ms;
@@ -491,7 +492,10 @@
         let endpoints = self.endpoints.borrow();
         let mut demand = PickDemand::new(&call.tried);
         if transfer::needs_grant(call.job.request.body.len() as u64) {
-            demand = demand.with_large_body(call.rule.objective_ms);
+            demand = demand.with_large_body(LargeBody {
+                at: &self.node,
+                objective_ms: call.rule.objective_ms,
+            });
         }
         endpoints.pick(now, &choices, demand, &mut *rng)
     }
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -25,6 +25,10 @@
 /// latency objective.
 const LARGE_BODY_CROSS_ZONE_COST: f64 = 0.2;
 
+/// Cost added to an endpoint on another instance for a request with a large body, as a share of the latency
+/// objective.
+const LARGE_BODY_LINK_COST: f64 = 0.2;
+
 /// Time for which an endpoint is avoided after the first failure to reach it; doubled after each further one.
 const INITIAL_BACKOFF_MS: u64 = 250;
 
@@ -70,8 +74,17 @@
 pub struct PickDemand<'a> {
     /// Instances that are not to be asked again.
     pub tried: &'a BTreeSet<Name>,
-    /// Latency objective of a request with a large body, in milliseconds; `None` for any other request.
-    pub large_objective_ms: Option<u64>,
+    /// The large body of the request, if it has one.
+    pub large_body: Option<LargeBody<'a>>,
+}
+
+/// A large body that is to be sent to an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct LargeBody<'a> {
+    /// Instance that has the body: an endpoint there needs no transfer.
+    pub at: &'a str,
+    /// Latency objective of the request, in milliseconds.
+    pub objective_ms: u64,
 }
 
 impl<'a> PickDemand<'a> {
@@ -80,14 +93,14 @@
     pub const fn new(tried: &'a BTreeSet<Name>) -> Self {
         Self {
             tried,
-            large_objective_ms: None,
+            large_body: None,
         }
     }
 
-    /// Sets the latency objective of a request with a large body, in milliseconds.
+    /// Sets the large body of the request.
     #[must_use]
-    pub const fn with_large_body(mut self, objective_ms: u64) -> Self {
-        self.large_objective_ms = Some(objective_ms);
+    pub const fn with_large_body(mut self, body: LargeBody<'a>) -> Self {
+        self.large_body = Some(body);
         self
     }
 }
@@ -199,11 +212,15 @@
         } else {
             reachable
         };
-        let compared = candidates
-            .into_iter()
-            .choose_multiple(rng, MAX_COMPARED_ENDPOINTS);
+        // A large body costs so much more than a comparison that all endpoints are compared.
+        let max_compared = if demand.large_body.is_some() {
+            candidates.len()
+        } else {
+            MAX_COMPARED_ENDPOINTS
+        };
+        let compared = candidates.into_iter().choose_multiple(rng, max_compared);
         let cost = |choice: &&RouteChoice| {
-            self.cost(now, choice) + self.transfer_cost(now, choice, demand.large_objective_ms)
+            self.cost(now, choice) + self.transfer_cost(now, choice, demand.large_body)
         };
         let best = compared
             .iter()
@@ -211,15 +228,15 @@
         Some(Name::clone(&best.node))
     }
 
-    /// Returns the cost of sending a large body to an endpoint: the expected wait for its link and the traffic
-    /// between zones, as a multiple of the latency objective.
+    /// Returns the cost of sending a large body to an endpoint: the expected wait for its link, the
+    /// transfer and the traffic between zones, as a multiple of the latency objective.
     fn transfer_cost(
         &self,
         now: Millis,
         choice: &RouteChoice,
-        large_objective_ms: Option<u64>,
+        large_body: Option<LargeBody<'_>>,
     ) -> f64 {
-        let Some(objective_ms) = large_objective_ms else {
+        let Some(body) = large_body.filter(|body| *body.at != *choice.node) else {
             return 0.0;
         };
         let endpoint = self.endpoints.get(&choice.node);
@@ -227,12 +244,12 @@
             let reported_ms = f64::from(endpoint.report.transfer_backlog_ms);
             (reported_ms - now.since(endpoint.reported_at) as f64).max(0.0)
         });
-        let zone_cost = if choice.is_same_zone {
-            0.0
+        let link_cost = if choice.is_same_zone {
+            LARGE_BODY_LINK_COST
         } else {
-            LARGE_BODY_CROSS_ZONE_COST
+            LARGE_BODY_LINK_COST + LARGE_BODY_CROSS_ZONE_COST
         };
-        backlog_ms / objective_ms.max(1) as f64 + zone_cost
+        backlog_ms / body.objective_ms.max(1) as f64 + link_cost
     }
 
     /// Returns the expected time to an answer as a multiple of the latency objective, increased for an endpoint
--- a/crates/policy/tests/test_choice.rs
+++ b/crates/policy/tests/test_choice.rs
@@ -5,6 +5,7 @@
 use googletest::prelude::*;
 use jy_policy::choice::EndpointTable;
 use jy_policy::choice::GateLoad;
+use jy_policy::choice::LargeBody;
 use jy_policy::choice::PickDemand;
 use jy_policy::choice::RouteChoice;
 use jy_types::name::Name;
@@ -142,3 +143,54 @@
     table.record_report(Millis(0), &"near".into(), IDLE);
     expect_that!(pick(&table, 10, &candidates), some(eq(&Name::from("near"))));
 }
+
+/// Load pattern: large bodies enter at all instances, also at those whose own backend server can run them.
+/// Guards against links that carry bodies which need no transfer.
+#[gtest]
+fn pick_large_body_stays_on_own_instance() {
+    let table = EndpointTable::new();
+    let names: Vec<String> = (0..20).map(|index| format!("n-{index}")).collect();
+    let choices: Vec<RouteChoice> = names
+        .iter()
+        .map(|name| RouteChoice {
+            node: name.as_str().into(),
+            is_same_zone: true,
+        })
+        .collect();
+    let body = LargeBody {
+        at: "n-13",
+        objective_ms: 1_000,
+    };
+    let tried = BTreeSet::new();
+    let demand = PickDemand::new(&tried).with_large_body(body);
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let picked = table.pick(Millis(0), &choices, demand, &mut rng);
+        expect_that!(picked.as_deref(), some(eq("n-13")));
+    }
+}
+
+/// Guards against bodies that wait for a link while others are idle.
+#[gtest]
+fn pick_large_body_avoids_link_with_backlog() {
+    let mut table = EndpointTable::new();
+    for (name, transfer_backlog_ms) in [("a", 800), ("b", 0)] {
+        let load = GateLoad {
+            transfer_backlog_ms,
+            ..IDLE
+        };
+        table.record_report(Millis(0), &name.into(), load);
+    }
+    let choices = ["a", "b"].map(|name| RouteChoice {
+        node: name.into(),
+        is_same_zone: name == "a",
+    });
+    let tried = BTreeSet::new();
+    let demand = PickDemand::new(&tried).with_large_body(LargeBody {
+        at: "elsewhere",
+        objective_ms: 1_000,
+    });
+    let mut rng = SmallRng::seed_from_u64(1);
+    let picked = table.pick(Millis(0), &choices, demand, &mut rng);
+    expect_that!(picked.as_deref(), some(eq("b")));
+}
