policy, edge: requests and bodies that would be late are refused while better ones wait

Cause: at an owner that is offered more than it can run, a waiting request that can no longer meet its objective ranks behind all that come after it. Change: with each offer, waiting requests that would be refused if they were offered now are refused. A body that will be late waits for at most 10 % of the time left.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -47,6 +47,9 @@
 /// Longest wait in the queue, as a share of the time left. A caller that is refused then still has time to
 /// retry.
 const MAX_QUEUE_WAIT_SHARE: f64 = 0.6;
+/// Latest start of the transfer of a large body that will be late, as a share of the time left. In an overload,
+/// a longer wait would make all bodies late.
+const MAX_LATE_TRANSFER_SHARE: f64 = 0.1;
 /// How long a service time reported by the backend server is used, in milliseconds. The value changes many
 /// times a second.
 const SERVICE_TIME_REPORT_TTL_MS: u64 = 300;
@@ -352,7 +355,7 @@
         let work_ms = self
             .rules(job)
             .map_or(0.0, |(rule, _)| self.expected_service_time_ms(&rule));
-        let late_share = job.deadline.since(now) as f64 * MAX_QUEUE_WAIT_SHARE;
+        let late_share = job.deadline.since(now) as f64 * MAX_LATE_TRANSFER_SHARE;
         let on_time = job.objective.minus(work_ms as u64);
         on_time.max(now.plus((late_share - work_ms).max(0.0) as u64))
     }
@@ -383,6 +386,10 @@
             Admission::Queued => {
                 let (sender, start_signal) = oneshot::channel();
                 state.start_senders.insert(ticket, sender);
+                // A request whose sender is dropped is refused by the task that waits for its turn.
+                for refused in state.queue.refuse_late(now) {
+                    state.start_senders.remove(&refused);
+                }
                 let gate = Rc::clone(self);
                 Ok((QueueGuard { gate, ticket }, start_signal))
             }
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -130,6 +130,30 @@
         Admission::Queued
     }
 
+    /// Removes the waiting requests that would be refused if they were offered now, and returns their tickets.
+    ///
+    /// Requests that came after them have a better rank, so that they would wait until their deadline.
+    pub fn refuse_late(&mut self, now: Millis) -> Vec<u64> {
+        let mut ranked: Vec<(u64, AdmissionRequest)> = self
+            .waiting
+            .iter()
+            .map(|(ticket, request)| (*ticket, *request))
+            .collect();
+        ranked.sort_by_key(|(ticket, request)| rank(now, *ticket, request));
+        let mut ahead_ms = 0.0;
+        let mut refused = Vec::new();
+        for (ticket, request) in ranked {
+            let wait_ms = self.wait_ms(now, &request, ahead_ms);
+            if ahead_ms > 0.0 && wait_ms > self.max_wait_ms(now, &request) {
+                self.waiting.remove(&ticket);
+                refused.push(ticket);
+            } else {
+                ahead_ms += request.work_ms;
+            }
+        }
+        refused
+    }
+
     /// Moves the next waiting request to the running ones if a slot is free for it, and returns its ticket.
     pub fn start(&mut self, now: Millis) -> Option<u64> {
         let (ticket, request) = self
