edge, policy: keys are first divided once all backend servers are known

Change: the first table waits until no new backend server came for half an announcement interval, for at most 5 s after the start of the agent.

--- a/crates/edge/src/range_manager.rs
+++ b/crates/edge/src/range_manager.rs
@@ -18,6 +18,7 @@
 use jy_platform::store::StoreWrite;
 use jy_policy::leaving;
 use jy_policy::offered::SustainedOverload;
+use jy_policy::settling::FleetSettling;
 use jy_ranges::plan;
 use jy_ranges::plan::RangeMove;
 use jy_ranges::plan::RangeReceiver;
@@ -56,8 +57,11 @@
 /// Longest time between two checks by an agent that manages no key ranges, in milliseconds.
 const IDLE_CHECK_INTERVAL_MS: u64 = 2_000;
 /// Uptime of the agent before it creates the first table, in milliseconds: all instances start within 0.3 s,
-/// and their backend servers announce themselves within 1.5 s.
+/// and their backend servers begin to announce themselves within 1.5 s.
 const FIRST_TABLE_DELAY_MS: u64 = 2_500;
+/// Uptime of the agent after which it creates the first table although new backend servers still announce
+/// themselves, in milliseconds: callers come 8 s after the start.
+const MAX_FIRST_TABLE_DELAY_MS: u64 = 5_000;
 /// Least time between moves that balance load, in announcement intervals. A move takes up to two intervals, and
 /// the loads must reflect the last move before the next one is chosen.
 const BALANCE_INTERVALS: f64 = 3.0;
@@ -109,6 +113,7 @@
     overload: Cell<SustainedOverload>,
     /// When this agent claims keys for new incarnations, unless another agent does so first.
     claim_due: Cell<Option<Millis>>,
+    settling: Cell<FleetSettling>,
     lost_owners: LostOwners,
     rng: RefCell<SmallRng>,
 }
@@ -153,6 +158,7 @@
             last_balanced: Cell::new(Millis::default()),
             overload: Cell::new(SustainedOverload::new()),
             claim_due: Cell::new(None),
+            settling: Cell::new(FleetSettling::new()),
             lost_owners: LostOwners::new(),
             rng: RefCell::new(SmallRng::from_os_rng()),
         }
@@ -312,7 +318,17 @@
 
     /// Creates the first table of a service, once its backend servers have had time to announce themselves.
     fn first_table(&self, now: Millis, receivers: &[RangeReceiver]) -> Option<TableChange> {
-        if now.since(self.started) < FIRST_TABLE_DELAY_MS + self.rank_delay_ms(receivers) {
+        let uptime_ms = now.since(self.started);
+        let mut settling = self.settling.get();
+        let quiet_ms = self.parts.announce_interval_ms / 2;
+        let is_settled = settling.observe(now, receivers.len(), quiet_ms);
+        self.settling.set(settling);
+        let delay_ms = if is_settled {
+            FIRST_TABLE_DELAY_MS
+        } else {
+            MAX_FIRST_TABLE_DELAY_MS
+        };
+        if uptime_ms < delay_ms + self.rank_delay_ms(receivers) {
             return None;
         }
         let weights: Vec<(RangeOwner, u32)> = receivers
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`moving`]: waiting for keys that move between backend servers.
 //! - [`offered`]: measurement of offered work and overload.
 //! - [`service_time`]: moving mean of service times.
+//! - [`settling`]: completeness of a starting fleet.
 //! - [`transfer`]: admission of large bodies to a slow network link.
 
 pub mod admission;
@@ -18,4 +19,5 @@
 pub mod moving;
 pub mod offered;
 pub mod service_time;
+pub mod settling;
 pub mod transfer;
