policy, edge: calls come before hedges in the budget; fewer calls to a store that rejects them

Hedges had used most of the budget of extra sends when calls of running requests needed it (4,251 calls given up after 6 ms).

--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -21,6 +21,7 @@
 use jy_platform::headers;
 use jy_policy::budget::BudgetLimits;
 use jy_policy::budget::SendCounter;
+use jy_policy::budget::SendPurpose;
 use jy_policy::choice::EndpointTable;
 use jy_policy::choice::LargeBody;
 use jy_policy::choice::PickDemand;
@@ -448,15 +449,19 @@
         let now = clock::now();
         call.backends_reached < call.rule.max_attempts
             && now < call.job.deadline
-            && self.spend_retry_budget(now, &call.job.service)
+            && self.spend_retry_budget(
+                now,
+                &call.job.service,
+                SendPurpose::retry_of(call.rule.priority),
+            )
     }
 
     /// Spends one extra send of the service's retry budget. Returns whether the budget allowed it.
-    fn spend_retry_budget(&self, now: Millis, service: &Name) -> bool {
+    fn spend_retry_budget(&self, now: Millis, service: &Name, purpose: SendPurpose) -> bool {
         let live_agents = self.snapshot.borrow().live_agents(now);
         let mut send_counters = self.send_counters.borrow_mut();
         let send_counter = send_counters.entry(Name::clone(service)).or_default();
-        let is_spent = send_counter.spend(now, self.budget.get(), live_agents);
+        let is_spent = send_counter.spend(now, self.budget.get(), live_agents, purpose);
         if is_spent {
             self.metrics.extra_sends.inc();
         }
@@ -504,7 +509,9 @@
     fn pick_hedge_node(&self, call: &CallState) -> Option<Name> {
         let node = self.pick_node(call)?;
         let has_attempts = call.backends_reached + 1 < call.rule.max_attempts;
-        (has_attempts && self.spend_retry_budget(clock::now(), &call.job.service)).then_some(node)
+        (has_attempts
+            && self.spend_retry_budget(clock::now(), &call.job.service, SendPurpose::Hedge))
+        .then_some(node)
     }
 
     /// Returns the agent whose backend server owns a request's key, if it may be asked.
--- a/crates/edge/src/member.rs
+++ b/crates/edge/src/member.rs
@@ -11,6 +11,7 @@
 use jy_platform::store::StoreClient;
 use jy_platform::store::StoreCommit;
 use jy_platform::store::StoreWrite;
+use jy_policy::outage;
 use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
 use jy_types::time::Millis;
@@ -27,9 +28,8 @@
 pub const LEASE_MS: u64 = 3_500;
 /// Time between renewals of the lease, in milliseconds: the lease outlasts the loss of two.
 const RENEW_INTERVAL_MS: u64 = 1_000;
-/// Delay before the next attempt after a failed call or an unconfirmed write, in milliseconds: records must
-/// be back within 2 s of the store's return.
-const RETRY_DELAY_MS: u64 = 200;
+/// Delay before the next attempt after an unconfirmed write, in milliseconds.
+const CONFIRM_DELAY_MS: u64 = 200;
 
 /// Longest time for which an agent grants keys after its last confirmed renewal, in milliseconds. It covers
 /// store outages of 9 s, as listed on the deployments' pages. The keys of a lost owner whose witnesses can't
@@ -110,15 +110,17 @@
 
     /// Renews the lease and updates the record periodically. Never returns.
     pub async fn run(&self) {
+        let mut failures = 0;
         loop {
             let result = self.maintain().await;
-            if let Err(error) = &result {
-                log::debug!("failed to maintain own record: {error}");
-            }
-            let wait_ms = if matches!(result, Ok(true)) {
-                RENEW_INTERVAL_MS
-            } else {
-                RETRY_DELAY_MS
+            failures = if result.is_err() { failures + 1 } else { 0 };
+            let wait_ms = match result {
+                Ok(true) => RENEW_INTERVAL_MS,
+                Ok(false) => CONFIRM_DELAY_MS,
+                Err(error) => {
+                    log::debug!("failed to maintain own record: {error}");
+                    outage::retry_delay_ms(failures)
+                }
             };
             let change = self.changed.notified();
             let _is_due = timeout(Duration::from_millis(wait_ms), change).await;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`leaving`]: requests for the keys of a backend server that leaves.
 //! - [`moving`]: waiting for keys that move between backend servers.
 //! - [`offered`]: measurement of offered work and overload.
+//! - [`outage`]: calls to a store that does not answer.
 //! - [`service_time`]: moving mean of service times.
 //! - [`settling`]: completeness of a starting fleet.
 //! - [`transfer`]: admission of large bodies to a slow network link.
@@ -18,6 +19,7 @@
 pub mod leaving;
 pub mod moving;
 pub mod offered;
+pub mod outage;
 pub mod service_time;
 pub mod settling;
 pub mod transfer;
--- a/crates/policy/tests/test_budget.rs
+++ b/crates/policy/tests/test_budget.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use jy_policy::budget::BudgetLimits;
 use jy_policy::budget::SendCounter;
+use jy_policy::budget::SendPurpose;
 use jy_types::time::Millis;
 
 /// The limits of the association's deployments.
@@ -23,7 +24,7 @@
                 counter.request(Millis(now), LIMITS);
                 requests += 1;
             }
-            if counter.spend(Millis(now), LIMITS, agents) {
+            if counter.spend(Millis(now), LIMITS, agents, SendPurpose::UrgentRetry) {
                 extras += 1;
             }
         }
@@ -39,6 +40,34 @@
     for now in 0..100 {
         counter.request(Millis(now), LIMITS);
     }
-    expect_that!(counter.spend(Millis(200), LIMITS, 10), eq(true));
-    expect_that!(counter.spend(Millis(20_000), LIMITS, 100), eq(false));
+    expect_that!(
+        counter.spend(Millis(200), LIMITS, 10, SendPurpose::UrgentRetry),
+        eq(true)
+    );
+    expect_that!(
+        counter.spend(Millis(20_000), LIMITS, 100, SendPurpose::UrgentRetry),
+        eq(false)
+    );
+}
+
+/// Load pattern: all backend servers of a service reject half of what they get, while many answers are slow
+/// enough to be hedged. Guards against hedges that leave no extra send for failed calls of running requests.
+#[gtest]
+fn spend_rejecting_servers_calls_come_before_hedges() {
+    let mut counter = SendCounter::new();
+    let mut spent = [0_u32; 3];
+    let purposes = [
+        SendPurpose::Hedge,
+        SendPurpose::Retry,
+        SendPurpose::UrgentRetry,
+    ];
+    for now in 0..10_000 {
+        counter.request(Millis(now), LIMITS);
+        for (purpose, spent) in purposes.into_iter().zip(&mut spent) {
+            *spent += u32::from(counter.spend(Millis(now), LIMITS, 10, purpose));
+        }
+    }
+    let [hedges, retries, urgent_retries] = spent;
+    expect_that!(hedges, gt(0));
+    expect_that!(urgent_retries, gt(hedges + retries));
 }
