policy: use 0.7 of the budget of extra sends

Cause: while all servers of a service reject half of what they get, the agents' part of the budget binds: half of the failed calls of running requests are not sent again. Hedges, whose runs make calls that count too, now use little of it.

--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -10,7 +10,7 @@
 
 /// Share of the allowed extra sends that the agents use. The remainder covers restarted agents, which
 /// start counting from zero, and the calls that a repeated run makes.
-const USED_BUDGET_SHARE: f64 = 0.5;
+const USED_BUDGET_SHARE: f64 = 0.7;
 
 /// Share of an agent's part up to which slow requests are hedged. A hedge only makes an answer earlier, so most
 /// of the budget is left for requests that would otherwise fail.
