http, edge: bound responses without an end; send bodies to agents that don't admit them

Cause: a body without an end was kept in memory until the request's time limit, and so were heads of informational responses read without an end. An agent of an earlier version does not know the request to admit a body, and its answer was taken for an unknown outcome. Change: a response of more than 4 MiB, or with more than 8 informational heads, ends the exchange and closes the connection; its outcome is unknown. An answer that is no report lets the body be sent.

--- a/crates/edge/src/transfer.rs
+++ b/crates/edge/src/transfer.rs
@@ -44,7 +44,7 @@
 const RATE_HEADER: &str = "jy-bytes-per-ms";
 
 /// Permission to send a large body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TransferGrant {
     /// Ticket of the body, if the gate keeps one.
     pub ticket: Option<u64>,
@@ -88,7 +88,17 @@
     let options = forward::send_options(job.deadline.since(now));
     match pool.send(address, &request, None, options).await {
         Ok(response) if response.status == StatusCode::OK => Ok(decode_grant(&response)),
-        Ok(response) => Err(forward::decode_report(response)),
+        Ok(response) => {
+            let report = forward::decode_report(response);
+            match report.outcome {
+                // An agent of an earlier version does not know the request, and takes bodies without admission.
+                GateOutcome::Unknown { reason } => {
+                    log::debug!("request={} sent without admission: {reason}", job.id);
+                    Ok(TransferGrant::default())
+                }
+                GateOutcome::Answered(_) | GateOutcome::NotRun { .. } => Err(report),
+            }
+        }
         Err(error) => {
             pool.close_idle(address);
             log::debug!("request={} not admitted: {error}", job.id);
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -43,6 +43,12 @@
 /// the shortest time without contact that the deployments allow, 3 s.
 const TCP_USER_TIMEOUT_MS: u64 = 1_500;
 
+/// Largest response, in bytes. A longer one, for example one without an end, closes the connection.
+pub const MAX_RESPONSE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Number of informational responses after which the exchange fails.
+const MAX_INFORMATIONAL_RESPONSES: usize = 8;
+
 /// Number of responses to other requests that are skipped before the exchange fails.
 const MAX_SKIPPED_RESPONSES: usize = 3;
 
@@ -400,11 +406,16 @@
     mut codec: ClientCodec,
     is_head: bool,
 ) -> std::result::Result<ReadOutcome, Name> {
+    let mut informational = 0;
     let head = loop {
         let head = read_head(reader, buffer, &mut codec).await?;
         if !head.status.is_informational() {
             break head;
         }
+        informational += 1;
+        if informational > MAX_INFORMATIONAL_RESPONSES {
+            return Err("too many informational responses".into());
+        }
     };
     let is_keep_alive = codec.keep_alive() && !has_connection_close(&head);
     let (status, headers) = (head.status, head.headers().clone());
@@ -502,7 +513,10 @@
     let mut body = BytesMut::new();
     loop {
         match codec.decode(buffer) {
-            Ok(Some(Some(chunk))) => body.extend_from_slice(&chunk),
+            Ok(Some(Some(chunk))) => {
+                check_length(body.len() + chunk.len())?;
+                body.extend_from_slice(&chunk);
+            }
             Ok(Some(None)) => return Ok((body.freeze(), codec.into_message_codec())),
             Ok(None) => read_more(reader, buffer).await?,
             Err(error) => return Err(error.to_string().into()),
@@ -522,12 +536,25 @@
     loop {
         match reader.read_buf(buffer).await {
             Ok(0) => return Ok(buffer.split().freeze()),
-            Ok(_) => {}
+            Ok(_) => check_length(buffer.len())?,
             Err(error) => return Err(error.to_string().into()),
         }
     }
 }
 
+/// Checks the number of bytes of a body that were received.
+///
+/// # Errors
+///
+/// A description if they exceed [`MAX_RESPONSE_BYTES`].
+fn check_length(length: usize) -> std::result::Result<(), Name> {
+    if length > MAX_RESPONSE_BYTES {
+        let text = format!("the answer is longer than {MAX_RESPONSE_BYTES} bytes");
+        return Err(text.into());
+    }
+    Ok(())
+}
+
 /// Reads more bytes into `buffer`.
 ///
 /// # Errors
