--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -15,8 +15,10 @@
 /// Half-life of a reported load: about the service time of two requests.
 const REPORT_HALF_LIFE_MS: f64 = 250.0;
 
-/// Number of randomly sampled candidates that are compared for one request; more gain little and cost time.
-const MAX_COMPARED_ENDPOINTS: usize = 5;
+/// Number of randomly sampled candidates of the gateway's own availability zone, and of all others, that are
+/// compared for one request; more gain little and cost time. In a large fleet with many zones, a common sample
+/// would often have none of the own zone.
+const MAX_COMPARED_PER_ZONE: usize = 3;
 
 /// Cost factor of an endpoint in another availability zone, since traffic between zones is charged.
 const CROSS_ZONE_COST_FACTOR: f64 = 1.15;
@@ -213,12 +215,11 @@
             reachable
         };
         // A large body costs so much more than a comparison that all endpoints are compared.
-        let max_compared = if demand.large_body.is_some() {
-            candidates.len()
+        let compared = if demand.large_body.is_some() {
+            candidates
         } else {
-            MAX_COMPARED_ENDPOINTS
+            sample_both_zones(candidates, rng)
         };
-        let compared = candidates.into_iter().choose_multiple(rng, max_compared);
         let cost = |choice: &&RouteChoice| {
             self.cost(now, choice) + self.transfer_cost(now, choice, demand.large_body)
         };
@@ -278,3 +279,22 @@
         zone_factor * service_time.max(0.05) * (1.0 + contention + wait) * failure_factor
     }
 }
+
+/// Samples up to [`MAX_COMPARED_PER_ZONE`] endpoints of the gateway's availability zone and as many of others.
+fn sample_both_zones<'a>(
+    candidates: Vec<&'a RouteChoice>,
+    rng: &mut impl Rng,
+) -> Vec<&'a RouteChoice> {
+    let (own_zone, others): (Vec<&RouteChoice>, Vec<&RouteChoice>) = candidates
+        .into_iter()
+        .partition(|choice| choice.is_same_zone);
+    let mut sampled = own_zone
+        .into_iter()
+        .choose_multiple(rng, MAX_COMPARED_PER_ZONE);
+    sampled.extend(
+        others
+            .into_iter()
+            .choose_multiple(rng, MAX_COMPARED_PER_ZONE),
+    );
+    sampled
+}
--- a/crates/policy/tests/test_choice.rs
+++ b/crates/policy/tests/test_choice.rs
@@ -194,3 +194,25 @@
     let picked = table.pick(Millis(0), &choices, demand, &mut rng);
     expect_that!(picked.as_deref(), some(eq("b")));
 }
+
+/// Load pattern: a large fleet in five zones under moderate load. Guards against traffic between zones that
+/// endpoints of the own zone could have run.
+#[gtest]
+fn pick_many_zones_moderate_load_prefers_own_zone() {
+    let table = EndpointTable::new();
+    let choices: Vec<RouteChoice> = (0..25)
+        .map(|index| RouteChoice {
+            node: format!("n-{index}").into(),
+            is_same_zone: index % 5 == 0,
+        })
+        .collect();
+    let tried = BTreeSet::new();
+    let mut rng = SmallRng::seed_from_u64(7);
+    for _ in 0..100 {
+        let picked = table
+            .pick(Millis(0), &choices, PickDemand::new(&tried), &mut rng)
+            .expect("an endpoint is picked");
+        let choice = choices.iter().find(|choice| choice.node == picked);
+        expect_that!(choice.is_some_and(|choice| choice.is_same_zone), eq(true));
+    }
+}
