edge, policy, ranges: keys are divided by the speed of their owners

Cause: owners differ in speed (70 and 160 % of the usual service time) and got equal shares of the keys. Change: an agent asks its backend server three times for its service time after the first announcement and lists the least; the first table and later receivers weigh slots by it.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -455,6 +455,7 @@
         let outcome = self
             .backend
             .announce(clock::now(), address, announced, table, authority);
+        self.start_measurement();
         match outcome {
             AnnounceOutcome::Accepted(reply) => match announce::encode_reply(reply.as_ref()) {
                 Ok(body) => {
@@ -476,6 +477,30 @@
         }
     }
 
+    /// Measures the service time of a new incarnation of the backend server if its service is divided by key.
+    fn start_measurement(&self) {
+        let announced = self
+            .backend
+            .read(|state| state.map(|state| Name::clone(&state.announced.service)));
+        let health_path = announced.and_then(|service| {
+            let snapshot = self.snapshot.borrow();
+            let rule = snapshot.routes.as_ref()?.services.get(&service)?;
+            rule.keyed.then(|| Name::clone(&rule.health_path))
+        });
+        let Some(health_path) = health_path else {
+            return;
+        };
+        let Some(incarnation) = self.backend.take_measurement() else {
+            return;
+        };
+        let (gate, backend) = (Rc::clone(&self.gate), Rc::clone(&self.backend));
+        actix_rt::spawn(async move {
+            if let Some(percent) = gate.measure_service_time(&health_path).await {
+                backend.set_service_time(&incarnation, percent);
+            }
+        });
+    }
+
     /// Waits until the keys of a leaving backend server are marked for their next owners, for at most
     /// [`MAX_LEAVING_REPLY_MS`].
     async fn wait_for_moves(&self, announced: &Announcement) {
--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -10,6 +10,7 @@
 use jy_ranges::table::RangeOwner;
 use jy_ranges::table::RangeTable;
 use jy_types::endpoint::Announcement;
+use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::BackendPhase;
 use jy_types::endpoint::GrantReply;
 use jy_types::endpoint::GrantedRange;
@@ -43,6 +44,10 @@
     pub refuses: bool,
     /// Whether it reported its own end.
     pub ended: bool,
+    /// Its service time relative to that of a usual one, in percent, once measured.
+    pub service_time_percent: Option<u32>,
+    /// Whether its service time is being measured or has been.
+    pub is_measured: bool,
     /// When it first reported that it leaves.
     pub leaving_since: Option<Millis>,
     /// Whether it has rejected a request as meant for another backend server since then.
@@ -146,6 +151,7 @@
             service: Name::clone(&state.announced.service),
             slots: state.announced.slots,
             phase,
+            service_time_percent: state.service_time_percent,
         })
     }
 
@@ -215,6 +221,8 @@
             last_heard: now,
             refuses: false,
             ended: false,
+            service_time_percent: None,
+            is_measured: false,
             leaving_since: None,
             disowned: false,
             granted: Vec::new(),
@@ -304,6 +312,33 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// Returns the incarnation whose service time is to be measured, once for each.
+    #[must_use]
+    pub fn take_measurement(&self) -> Option<BackendIncarnation> {
+        let mut current = self.state.borrow_mut();
+        let state = current.as_mut().filter(|state| state.is_serving())?;
+        let is_due = !std::mem::replace(&mut state.is_measured, true);
+        is_due.then(|| state.announced.incarnation.clone())
+    }
+
+    /// Records the service time of an incarnation relative to that of a usual backend server, in percent.
+    pub fn set_service_time(&self, incarnation: &BackendIncarnation, percent: u32) {
+        let mut current = self.state.borrow_mut();
+        let Some(state) = current.as_mut() else {
+            return;
+        };
+        if state.announced.incarnation != *incarnation {
+            return;
+        }
+        log::info!(
+            "belief backend={} service_time_percent={percent}",
+            incarnation.id
+        );
+        state.service_time_percent = Some(percent);
+        drop(current);
+        self.changes.send_modify(|count| *count += 1);
+    }
+
     /// Marks the backend server as ended, as it has reported.
     pub fn mark_ended(&self, now: Millis, id: &str) {
         let mut current = self.state.borrow_mut();
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -1,9 +1,12 @@
 //! Sends requests to the backend server beside the agent and classifies its answers.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
+use actix_http::Method;
 use jy_http::client::ExchangeError;
 use jy_http::client::ResponseCheck;
+use jy_http::message::HttpRequest;
 use jy_http::message::HttpResponse;
 use jy_http::message::strip_connection_headers;
 use jy_http::pool::SendOptions;
@@ -11,10 +14,13 @@
 use jy_platform::headers;
 use jy_platform::headers::DispatchHeaders;
 use jy_platform::headers::ResponseKind;
+use jy_policy::capacity::MEASUREMENT_INTERVAL_MS;
+use jy_policy::capacity::MEASUREMENTS;
 use jy_types::endpoint::BackendIncarnation;
 use jy_types::name::Name;
 use jy_types::routing::RouteRule;
 use jy_types::time::Millis;
+use tokio::time::sleep;
 
 use crate::forward::GateJob;
 use crate::forward::GateOutcome;
@@ -80,6 +86,35 @@
         }
     }
 
+    /// Measures the service time of a backend server that has just started, relative to that of a usual one, in
+    /// percent. Returns `None` if its answers to status checks don't state it.
+    pub(crate) async fn measure_service_time(&self, health_path: &str) -> Option<u32> {
+        let mut shortest: Option<u32> = None;
+        for _ in 0..MEASUREMENTS {
+            sleep(Duration::from_millis(MEASUREMENT_INTERVAL_MS)).await;
+            let request = HttpRequest::new(Method::GET, health_path).with_header("host", "backend");
+            let options = SendOptions {
+                connect_timeout_ms: CONNECT_TIMEOUT_MS,
+                response_timeout_ms: CONNECT_TIMEOUT_MS,
+                max_idle_ms: IDEMPOTENT_MAX_IDLE_MS,
+                max_bytes_per_ms: None,
+            };
+            match self
+                .pool
+                .send(self.address.get(), &request, None, options)
+                .await
+            {
+                Ok(response) => {
+                    let load = headers::reported_load(&response.headers);
+                    let percent = load.and_then(|load| load.service_time_percent);
+                    shortest = shortest.into_iter().chain(percent).min();
+                }
+                Err(error) => log::debug!("failed to measure the backend server: {error}"),
+            }
+        }
+        shortest
+    }
+
     /// Returns the backend server to send to, if it accepts the request.
     fn dispatch_target(&self, now: Millis, key: Option<u16>) -> Option<DispatchTarget> {
         let incarnation = self.backend.read(|state| {
--- a/crates/edge/src/range_manager.rs
+++ b/crates/edge/src/range_manager.rs
@@ -16,6 +16,7 @@
 use jy_platform::store::StoreClient;
 use jy_platform::store::StoreCommit;
 use jy_platform::store::StoreWrite;
+use jy_policy::capacity;
 use jy_policy::leaving;
 use jy_policy::offered::SustainedOverload;
 use jy_policy::settling::FleetSettling;
@@ -59,6 +60,10 @@
 /// Uptime of the agent before it creates the first table, in milliseconds: all instances start within 0.3 s,
 /// and their backend servers begin to announce themselves within 1.5 s.
 const FIRST_TABLE_DELAY_MS: u64 = 2_500;
+/// Least time without a new backend server before the first table is created, in milliseconds: the service time
+/// of the last one must be known.
+const MIN_QUIET_MS: u64 =
+    capacity::MEASUREMENT_INTERVAL_MS * capacity::MEASUREMENTS as u64 + RANK_DELAY_MS;
 /// Uptime of the agent after which it creates the first table although new backend servers still announce
 /// themselves, in milliseconds: callers come 8 s after the start.
 const MAX_FIRST_TABLE_DELAY_MS: u64 = 5_000;
@@ -309,7 +314,7 @@
                         node: choice.node,
                         incarnation: backend.incarnation.clone(),
                     },
-                    slots: backend.slots,
+                    weight: capacity::weight(backend.slots, backend.service_time_percent),
                     used,
                 })
             })
@@ -320,7 +325,7 @@
     fn first_table(&self, now: Millis, receivers: &[RangeReceiver]) -> Option<TableChange> {
         let uptime_ms = now.since(self.started);
         let mut settling = self.settling.get();
-        let quiet_ms = self.parts.announce_interval_ms / 2;
+        let quiet_ms = (self.parts.announce_interval_ms / 2).max(MIN_QUIET_MS);
         let is_settled = settling.observe(now, receivers.len(), quiet_ms);
         self.settling.set(settling);
         let delay_ms = if is_settled {
@@ -333,7 +338,7 @@
         }
         let weights: Vec<(RangeOwner, u32)> = receivers
             .iter()
-            .map(|receiver| (receiver.owner.clone(), receiver.slots))
+            .map(|receiver| (receiver.owner.clone(), receiver.weight))
             .collect();
         Some(TableChange::new("first", RangeTable::new(&weights)?))
     }
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -117,6 +117,7 @@
             service: "s".into(),
             slots: 4,
             phase: BackendPhase::Serving,
+            service_time_percent: None,
         }),
     };
     let owner = RangeOwner {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`admission`]: queueing at a backend server that is offered more work than it can finish in time.
 //! - [`budget`]: limit on extra sends, which are retries of failed requests and hedges of slow ones.
+//! - [`capacity`]: weights of backend servers of different speeds.
 //! - [`choice`]: load balancing among backend servers of different speeds.
 //! - [`cold`]: rate limit for a backend server in cold start.
 //! - [`leaving`]: requests for the keys of a backend server that leaves.
@@ -14,6 +15,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod capacity;
 pub mod choice;
 pub mod cold;
 pub mod leaving;
--- a/crates/ranges/src/plan.rs
+++ b/crates/ranges/src/plan.rs
@@ -30,8 +30,8 @@
 pub struct RangeReceiver {
     /// The owner.
     pub owner: RangeOwner,
-    /// Number of requests that it runs at once.
-    pub slots: u32,
+    /// Its share of the keys relative to other receivers.
+    pub weight: u32,
     /// Share of its capacity in use.
     pub used: f64,
 }
@@ -47,7 +47,8 @@
     pub to: RangeOwner,
 }
 
-/// Chooses receivers for ranges one after the other, each time the receiver with the fewest keys per slot.
+/// Chooses receivers for ranges one after the other, each time the receiver with the fewest keys for its
+/// weight.
 pub struct ReceiverSelector<'a> {
     receivers: &'a [RangeReceiver],
     widths: Vec<u32>,
@@ -66,12 +67,12 @@
 
     /// Chooses the receiver of a range, or returns `None` if there are no receivers.
     pub fn choose(&mut self, range: &KeyRange) -> Option<RangeOwner> {
-        let keys_per_slot = |index: &usize| {
-            let slots = f64::from(self.receivers[*index].slots.max(1));
-            f64::from(self.widths[*index]) / slots
+        let keys_per_weight = |index: &usize| {
+            let weight = f64::from(self.receivers[*index].weight.max(1));
+            f64::from(self.widths[*index]) / weight
         };
         let index = (0..self.receivers.len())
-            .min_by(|one, other| keys_per_slot(one).total_cmp(&keys_per_slot(other)))?;
+            .min_by(|one, other| keys_per_weight(one).total_cmp(&keys_per_weight(other)))?;
         self.widths[index] += range.width();
         Some(self.receivers[index].owner.clone())
     }
--- a/crates/ranges/tests/test_plan.rs
+++ b/crates/ranges/tests/test_plan.rs
@@ -29,7 +29,7 @@
 fn receiver(name: &str, used: f64) -> RangeReceiver {
     RangeReceiver {
         owner: owner(name),
-        slots: 6,
+        weight: 6,
         used,
     }
 }
--- a/crates/types/src/endpoint.rs
+++ b/crates/types/src/endpoint.rs
@@ -108,6 +108,9 @@
     pub slots: u32,
     /// Whether it accepts new requests.
     pub phase: BackendPhase,
+    /// Its service time relative to that of a usual one, in percent, once measured.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service_time_percent: Option<u32>,
 }
 
 /// An agent's record in the store.
