edge: unfinished requests are answered at the end of a shutdown

Change: 0.7 s before the SIGKILL all that waits at the gate is refused as not run, and each unfinished request of a caller is answered: not run if it was not sent, else its outcome is unknown. Measured: tests end_unanswered_request_is_answered_at_once, serve_large_body_refused_is_not_sent and serve_large_body_to_earlier_agent_is_sent_once.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -70,6 +70,8 @@
 /// Longest delay of the answer to a backend server that leaves, in milliseconds. The platform takes an answer
 /// that comes within a second.
 const MAX_LEAVING_REPLY_MS: u64 = 400;
+/// Time in which the answers to unfinished requests are written at the end of the shutdown, in milliseconds.
+const LAST_ANSWERS_MS: u64 = 200;
 const SHUTDOWN_POLL_MS: u64 = 20;
 /// The settings file is polled because it may change without a signal.
 const SETTINGS_POLL_MS: u64 = 1_000;
@@ -597,8 +599,17 @@
             sleep(Duration::from_millis(SHUTDOWN_POLL_MS)).await;
         }
         self.backend.close();
+        let unfinished = running();
+        if unfinished > 0 {
+            self.gate.refuse_waiting();
+            self.gateway.end();
+            let written_by = clock::now().plus(LAST_ANSWERS_MS);
+            while running() > 0 && clock::now() < written_by {
+                sleep(Duration::from_millis(SHUTDOWN_POLL_MS)).await;
+            }
+        }
         log::info!(
-            "stop after_ms={} still_running={}",
+            "stop unfinished={unfinished} after_ms={} still_running={}",
             clock::now().since(started_at),
             running()
         );
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -146,6 +146,13 @@
         }
     }
 
+    /// Refuses all requests and bodies that wait for their turn.
+    pub fn refuse_waiting(&self) {
+        let mut state = self.state.borrow_mut();
+        state.start_senders.clear();
+        state.transfer_senders.clear();
+    }
+
     /// Changes the address of the backend server.
     pub fn set_address(&self, address: SocketAddr) {
         self.address.set(address);
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -37,6 +37,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -79,6 +80,8 @@
     request_log: RequestLog,
     metrics: Rc<EdgeMetrics>,
     refresh_requested: Rc<Notify>,
+    /// Whether unfinished requests are to be answered at once, since the agent's time to shut down is over.
+    is_ending: watch::Sender<bool>,
 }
 
 /// Arguments of [`CallerGateway::new`].
@@ -177,6 +180,7 @@
             request_log: RequestLog::new(),
             metrics: parts.metrics,
             refresh_requested: parts.refresh_requested,
+            is_ending: watch::Sender::new(false),
         }
     }
 
@@ -185,6 +189,11 @@
         self.origin.replace(origin);
     }
 
+    /// Answers all unfinished requests at once, and all later ones.
+    pub fn end(&self) {
+        self.is_ending.send_replace(true);
+    }
+
     /// Calls `read` with the table of endpoints.
     pub fn with_endpoints<T>(&self, read: impl FnOnce(&EndpointTable) -> T) -> T {
         read(&self.endpoints.borrow())
@@ -304,12 +313,29 @@
             send_counter.request(call.received_at, self.budget.get());
         }
         let limit_ms = call.job.deadline.since(clock::now());
-        let result = timeout(
-            Duration::from_millis(limit_ms),
-            self.run_attempts(&mut call),
-        )
-        .await;
+        let mut ending = self.is_ending.subscribe();
+        let result = {
+            let attempts = timeout(
+                Duration::from_millis(limit_ms),
+                self.run_attempts(&mut call),
+            );
+            tokio::select! {
+                result = attempts => Some(result),
+                _ = ending.wait_for(|is_ending| *is_ending) => None,
+            }
+        };
         let now = clock::now();
+        let is_sent = call.has_unknown_outcome || call.in_flight > 0;
+        let Some(result) = result else {
+            let reason = "the agent is shutting down";
+            let response = if is_sent {
+                refusal::unknown(reason)
+            } else {
+                refusal::not_run(reason, call.retry_ms, now, call.job.deadline)
+            };
+            self.record_outcome(now, &call, &response, "shutting-down");
+            return response;
+        };
         let (response, outcome_name) = match result {
             Ok(Ok(response)) => (response, "answered"),
             Ok(Err(())) if !call.has_unknown_outcome => {
@@ -318,9 +344,7 @@
                 (response, call.last_failure)
             }
             Ok(Err(())) => (refusal::unknown(call.last_failure), "outcome-unknown"),
-            Err(_) if call.has_unknown_outcome || call.in_flight > 0 => {
-                (refusal::timed_out("no answer in time"), "timed-out")
-            }
+            Err(_) if is_sent => (refusal::timed_out("no answer in time"), "timed-out"),
             Err(_) => {
                 let response = refusal::not_run("no turn in time", 0, now, call.job.deadline);
                 (response, "no-turn")
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -4,9 +4,11 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_http::Method;
 use actix_http::StatusCode;
+use bytes::Bytes;
 use googletest::prelude::*;
 use jy_edge::backend::LocalBackend;
 use jy_edge::feed::SnapshotSender;
@@ -21,8 +23,10 @@
 use jy_edge::snapshot::FleetSnapshot;
 use jy_edge::snapshot::ObservedInstance;
 use jy_edge::snapshot::VersionedRanges;
+use jy_edge::transfer::TRANSFER_PATH;
 use jy_http::message::HttpRequest;
 use jy_http::message::HttpResponse;
+use jy_http::server::Handler;
 use jy_http::server::HttpListener;
 use jy_http::server::ReadLimits;
 use jy_kernel::clock;
@@ -41,11 +45,12 @@
 use jy_types::time::Millis;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
 /// Limits of the listener that acts as another agent's gate.
 const LIMITS: ReadLimits = ReadLimits {
     head_bytes: 16 * 1024,
-    body_bytes: 1024,
+    body_bytes: 1024 * 1024,
     read_ms: 5_000,
     idle_ms: 5_000,
 };
@@ -184,17 +189,24 @@
 ///
 /// Panics if no port is free.
 async fn serve_other_gate(report: GateReport, request_count: Rc<Cell<u32>>) -> SocketAddr {
+    serve_gate(Rc::new(move |_, _| {
+        request_count.set(request_count.get() + 1);
+        let report = report.clone();
+        Box::pin(async move { encode_report(report) })
+    }))
+    .await
+}
+
+/// Serves a gate that handles each request with `handler`.
+///
+/// # Panics
+///
+/// Panics if no port is free.
+async fn serve_gate(handler: Handler) -> SocketAddr {
     let reserved = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = reserved.local_addr().expect("bound socket has an address");
     drop(reserved);
-    let listener = HttpListener::new(
-        Rc::new(move |_, _| {
-            request_count.set(request_count.get() + 1);
-            let report = report.clone();
-            Box::pin(async move { encode_report(report) })
-        }),
-        Rc::new(|| LIMITS),
-    );
+    let listener = HttpListener::new(handler, Rc::new(|| LIMITS));
     listener
         .serve(address)
         .await
@@ -293,3 +305,83 @@
     });
     expect_that!(response.status, eq(StatusCode::SERVICE_UNAVAILABLE));
 }
+
+/// Builds a caller's request with a large body.
+fn upload() -> HttpRequest {
+    HttpRequest::new(Method::POST, "/p/x")
+        .with_header("host", "h.example")
+        .with_header("x-request-id", "r1")
+        .with_header("x-deadline-ms", "3000")
+        .with_body(Bytes::from(vec![7_u8; 40_000]))
+}
+
+/// Guards against requests that were just accepted and are cut off without an answer at the end of a shutdown.
+#[gtest]
+fn end_unanswered_request_is_answered_at_once() {
+    let response = actix_rt::System::new().block_on(async {
+        let gate = serve_gate(Rc::new(|_, _| Box::pin(std::future::pending()))).await;
+        let gateway = gateway(snapshot(routes(false, false), gate, None));
+        let request = HttpRequest::new(Method::GET, "/p/x")
+            .with_header("host", "h.example")
+            .with_header("x-request-id", "r1")
+            .with_header("x-deadline-ms", "60000");
+        let ending = Rc::clone(&gateway);
+        actix_rt::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            ending.end();
+        });
+        timeout(Duration::from_secs(3), gateway.serve(request, clock::now())).await
+    });
+    let status = response.ok().map(|response| response.status);
+    expect_that!(
+        status,
+        some(eq(StatusCode::BAD_GATEWAY)),
+        "it was sent, so that it may have run"
+    );
+}
+
+/// A body that the gate refuses to take is not sent, and its request is said not to have run.
+#[gtest]
+fn serve_large_body_refused_is_not_sent() {
+    let (response, paths) =
+        serve_upload(|_| encode_report(GateReport::not_run(NotRunCause::Overloaded, 400, None)));
+    expect_that!(response.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(paths, each(eq(TRANSFER_PATH)));
+}
+
+/// Agents of an earlier version don't know the request to admit a body.
+#[gtest]
+fn serve_large_body_to_earlier_agent_is_sent_once() {
+    let (response, paths) = serve_upload(|path| {
+        if path == TRANSFER_PATH {
+            HttpResponse::new(StatusCode::BAD_REQUEST, "")
+        } else {
+            encode_report(GateReport {
+                outcome: answered(),
+                load: None,
+            })
+        }
+    });
+    expect_that!(response.status, eq(StatusCode::OK));
+    expect_that!(paths, elements_are![eq(TRANSFER_PATH), eq("/p/x")]);
+}
+
+/// Serves an upload through a gateway whose only other agent answers by the path of the request. Returns the
+/// caller's answer and the paths that the other agent was asked for.
+fn serve_upload(answer: impl Fn(&str) -> HttpResponse + 'static) -> (HttpResponse, Vec<String>) {
+    actix_rt::System::new().block_on(async {
+        let paths = Rc::new(std::cell::RefCell::new(Vec::new()));
+        let seen = Rc::clone(&paths);
+        let answer = Rc::new(answer);
+        let gate = serve_gate(Rc::new(move |request: HttpRequest, _| {
+            seen.borrow_mut().push(request.path().to_owned());
+            let response = answer(request.path());
+            Box::pin(async move { response })
+        }))
+        .await;
+        let gateway = gateway(snapshot(routes(false, false), gate, None));
+        let response = gateway.serve(upload(), clock::now()).await;
+        let paths = paths.borrow().clone();
+        (response, paths)
+    })
+}
--- a/crates/http/tests/test_endless.rs
+++ b/crates/http/tests/test_endless.rs
@@ -25,6 +25,10 @@
 
 /// Sends one request to a server that sends `head` and then `part` again and again until the connection is
 /// closed. Returns the client's result and the number of bytes that the server could send.
+///
+/// # Panics
+///
+/// Panics if the server can't be started.
 fn play(head: &'static str, part: &'static str) -> (std::result::Result<(), ExchangeError>, usize) {
     actix_rt::System::new().block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0")
