--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -60,6 +60,7 @@
 use crate::refusal;
 use crate::snapshot::FleetSnapshot;
 use crate::support::LocalSupport;
+use crate::tasks::TaskStarter;
 use crate::transfer;
 
 /// Time from SIGTERM until the agent accepts no more requests, in milliseconds. The platform checks readiness
@@ -114,13 +115,15 @@
 ///
 /// # Errors
 ///
-/// Returns an error if an address can't be bound or a signal handler can't be installed.
+/// Returns an error if an address can't be bound, a signal handler can't be installed, or a task ends that the
+/// agent can't do without.
 pub async fn run(path: &str, settings: EdgeSettings) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("could not catch SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("could not catch SIGINT")?;
     let agent = Rc::new(EdgeAgent::new(settings));
     let listeners = agent.listen().await?;
-    agent.start();
+    let (starter, mut ended) = TaskStarter::new();
+    agent.start(&starter);
     log::info!(
         "start instance={} zone={} service={} store={}",
         agent.settings.name,
@@ -132,6 +135,10 @@
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        name = ended.recv() => {
+            let name = name.unwrap_or("unknown");
+            anyhow::bail!("task {name} ended unexpectedly; the agent ends so that it is started again");
+        }
     }
     agent.shut_down(&listeners).await;
     Ok(())
@@ -222,19 +229,21 @@
     }
 
     /// Starts the background tasks.
-    fn start(self: &Rc<Self>) {
+    fn start(self: &Rc<Self>, starter: &TaskStarter) {
         let store = StoreClient::new(self.settings.store);
         let operator = self.record_feed(&self.operator);
-        actix_rt::spawn(async move { operator.run().await });
+        starter.start("operator feed", async move { operator.run().await });
         let fleet = self.record_feed(&self.fleet);
         let feed = Rc::clone(&fleet);
-        actix_rt::spawn(async move { fleet.run().await });
+        starter.start("fleet feed", async move { fleet.run().await });
         let member = Rc::clone(&self.member);
-        actix_rt::spawn(async move { member.run().await });
+        starter.start("member", async move { member.run().await });
         let support = Rc::clone(&self.support);
-        actix_rt::spawn(async move { support.run().await });
+        starter.start("support", async move { support.run().await });
         let agent = Rc::clone(self);
-        actix_rt::spawn(async move { agent.follow_record_changes().await });
+        starter.start("record changes", async move {
+            agent.follow_record_changes().await;
+        });
         let range_manager = RangeManager::new(RangeManagerParts {
             node: Name::clone(&self.settings.name),
             store,
@@ -247,7 +256,7 @@
             longest_grant_ms: self.settings.bounds.longest_grant_ms,
             announce_interval_ms: self.settings.bounds.announce_every_ms,
         });
-        actix_rt::spawn(async move { range_manager.run().await });
+        starter.start("key ranges", async move { range_manager.run().await });
     }
 
     /// Creates the feed of `records`.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod request_log;
 pub mod snapshot;
 pub mod support;
+pub mod tasks;
 pub mod transfer;
