lease, edge: witnesses whose runs have ended are replaced at once

Cause: after all machines lose power, owners choose witnesses by records that the witnesses' new runs have not rewritten yet. Change: a set with fewer than two witnesses whose runs are present is replaced as soon as that is seen.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -277,7 +277,7 @@
     }
 
     /// Has the agent's record rewritten when the listed state of the backend server changes, and whenever a new
-    /// snapshot lacks the record or has it as lapsed. Each new snapshot also removes the endpoints of absent
+    /// snapshot lacks the record, has it as lapsed, or shows that too few witnesses are left. Each new snapshot also removes the endpoints of absent
     /// instances.
     async fn follow_record_changes(&self) {
         let mut backend_updates = self.backend.subscribe();
@@ -294,7 +294,7 @@
                 }
                 _ = snapshot_updates.changed() => {
                     self.gateway.remove_absent_endpoints();
-                    if self.has_current_record() {
+                    if self.has_current_record() && !self.support.has_lost_quorum() {
                         continue;
                     }
                 }
--- a/crates/edge/src/support.rs
+++ b/crates/edge/src/support.rs
@@ -342,7 +342,9 @@
         if is_resolved {
             let since = self.stale_since.get().unwrap_or(now);
             self.stale_since.set(is_stale.then_some(since));
-            let is_due = !current.is_deniable() || now.since(since) >= REPLACE_DELAY_MS;
+            let is_due = !current.is_deniable()
+                || !self.has_quorum(&current)
+                || now.since(since) >= REPLACE_DELAY_MS;
             if !is_stale || !is_due {
                 return None;
             }
@@ -353,6 +355,20 @@
         })
     }
 
+    /// Whether the newest set of witnesses can support this agent no more, since their runs have ended.
+    #[must_use]
+    pub fn has_lost_quorum(&self) -> bool {
+        let state = self.state.borrow();
+        let newest = state.sets().last();
+        newest.is_some_and(|set| !self.has_quorum(set))
+    }
+
+    /// Whether enough witnesses of a set are present.
+    fn has_quorum(&self, set: &WitnessSet) -> bool {
+        let snapshot = self.snapshot.borrow();
+        set.has_quorum(|witness| is_present(&snapshot, witness))
+    }
+
     /// Adds a set that is about to be written to the store.
     pub fn propose(&self, set: WitnessSet) {
         log::info!(
--- a/crates/lease/src/witness.rs
+++ b/crates/lease/src/witness.rs
@@ -56,6 +56,14 @@
     pub const fn is_deniable(&self) -> bool {
         !self.witnesses.is_empty()
     }
+
+    /// Whether the owner can still get the support that it needs, if only the witnesses for which `is_live` holds
+    /// can promise any. Runs of witnesses that have ended promise nothing more.
+    #[must_use]
+    pub fn has_quorum(&self, is_live: impl Fn(&WitnessId) -> bool) -> bool {
+        let live = self.witnesses.iter().filter(|witness| is_live(witness));
+        !self.is_deniable() || live.count() >= WITNESS_QUORUM
+    }
 }
 
 /// Reply of a witness to an agent that wants to take over an owner's keys.
--- a/crates/lease/tests/test_witness.rs
+++ b/crates/lease/tests/test_witness.rs
@@ -448,3 +448,20 @@
         expect_that!(unsafe_count, gt(0), "{broken:?}");
     }
 }
+
+/// Load pattern: all machines lose power and start again within a second. Guards against owners that wait for
+/// the support of runs that have ended, and leave their keys without a holder meanwhile.
+#[gtest]
+fn has_quorum_after_mass_restart_is_lost() {
+    let set = set(3);
+    let restarted = |count: usize| {
+        let ended: Vec<Name> = (0..count)
+            .map(|number| format!("w{number}").into())
+            .collect();
+        set.has_quorum(|witness| !ended.contains(&witness.node))
+    };
+    expect_that!(restarted(0), eq(true));
+    expect_that!(restarted(1), eq(true), "two witnesses suffice");
+    expect_that!(restarted(2), eq(false));
+    expect_that!(WitnessSet::default().has_quorum(|_| false), eq(true));
+}
