edge: move the answers to announcements to a module of their own

Cause: app.rs held the announcements beside start, listeners and shutdown, 700 lines in all. Change: AnnouncementListener in announcements.rs; names and a comment in backend.rs. No behaviour.

--- /dev/null
+++ b/crates/edge/src/announcements.rs
@@ -0,0 +1,147 @@
+//! Answers the announcements of the backend server beside the agent.
+//!
+//! An answer grants the keys that the backend server owns. One that leaves is answered once the table moves its
+//! keys, so that it releases them at once.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::Method;
+use actix_http::StatusCode;
+use jy_http::message::HttpRequest;
+use jy_http::message::HttpResponse;
+use jy_kernel::clock;
+use jy_platform::announce;
+use jy_types::endpoint::Announcement;
+use jy_types::name::Name;
+use tokio::time::timeout;
+
+use crate::backend::AnnounceOutcome;
+use crate::backend::SharedBackend;
+use crate::feed::SnapshotSender;
+use crate::gate::LocalGate;
+use crate::member::LocalMember;
+use crate::refusal;
+use crate::snapshot::FleetSnapshot;
+
+/// Longest delay of the answer to a backend server that leaves, in milliseconds. The platform takes an answer
+/// that comes within a second.
+const MAX_LEAVING_REPLY_MS: u64 = 400;
+
+/// Answers announcements.
+pub struct AnnouncementListener {
+    /// Address of the backend server beside the agent.
+    pub address: SocketAddr,
+    /// What the agent knows of the backend server.
+    pub backend: SharedBackend,
+    /// The agent's gate, which measures the backend server.
+    pub gate: Rc<LocalGate>,
+    /// The agent's right to grant keys.
+    pub member: Rc<LocalMember>,
+    /// The latest snapshot of the fleet's records.
+    pub snapshot: Rc<SnapshotSender>,
+}
+
+impl AnnouncementListener {
+    /// Answers an announcement.
+    pub async fn answer(&self, request: &HttpRequest) -> HttpResponse {
+        let id = match announce::announced_id(request.path()) {
+            Ok(id) => id,
+            Err(error) => {
+                return refusal::rejected(StatusCode::BAD_REQUEST, &error.to_string());
+            }
+        };
+        if request.method == Method::DELETE {
+            self.backend.mark_ended(clock::now(), &id);
+            return HttpResponse::new(StatusCode::OK, "{}");
+        }
+        let announced = match announce::decode(id, &request.body) {
+            Ok(announced) => announced,
+            Err(error) => {
+                log::warn!("ignored an invalid announcement: {error}");
+                return refusal::rejected(StatusCode::BAD_REQUEST, &error.to_string());
+            }
+        };
+        self.wait_for_moves(&announced).await;
+        let snapshot = Rc::clone(&self.snapshot.borrow());
+        let ranges = snapshot.ranges.get(&announced.service);
+        let table = ranges.map(|ranges| &*ranges.table);
+        let authority = self.member.authority();
+        let address = self.address;
+        let outcome = self
+            .backend
+            .announce(clock::now(), address, announced, table, authority);
+        self.start_measurement();
+        match outcome {
+            AnnounceOutcome::Accepted(reply) => match announce::encode_reply(reply.as_ref()) {
+                Ok(body) => {
+                    let mut response = HttpResponse::new(StatusCode::OK, "")
+                        .with_header("content-type", "application/json");
+                    response.body = body;
+                    response
+                }
+                Err(error) => {
+                    log::error!("could not encode a grant: {error}");
+                    HttpResponse::new(StatusCode::OK, "{}")
+                }
+            },
+            AnnounceOutcome::Outdated => HttpResponse::new(StatusCode::OK, "{}"),
+            AnnounceOutcome::Foreign => {
+                log::warn!("ignored an announcement: its address is not {address}");
+                refusal::rejected(StatusCode::BAD_REQUEST, "the address is another instance's")
+            }
+        }
+    }
+
+    /// Measures the service time of a new incarnation of the backend server if its service is divided by key.
+    fn start_measurement(&self) {
+        let announced = self
+            .backend
+            .read(|state| state.map(|state| Name::clone(&state.announced.service)));
+        let health_path = announced.and_then(|service| {
+            let snapshot = self.snapshot.borrow();
+            let rule = snapshot.routes.as_ref()?.services.get(&service)?;
+            rule.keyed.then(|| Name::clone(&rule.health_path))
+        });
+        let Some(health_path) = health_path else {
+            return;
+        };
+        let Some(incarnation) = self.backend.take_measurement() else {
+            return;
+        };
+        let (gate, backend) = (Rc::clone(&self.gate), Rc::clone(&self.backend));
+        actix_rt::spawn(async move {
+            if let Some(percent) = gate.measure_service_time(&health_path).await {
+                backend.set_service_time(&incarnation, percent);
+            }
+        });
+    }
+
+    /// Waits until the keys of a leaving backend server are marked for their next owners, for at most
+    /// [`MAX_LEAVING_REPLY_MS`].
+    async fn wait_for_moves(&self, announced: &Announcement) {
+        let keeps_keys = |snapshot: &FleetSnapshot| {
+            let ranges = snapshot.ranges.get(&announced.service);
+            ranges.is_some_and(|ranges| {
+                self.backend
+                    .keeps_keys_while_leaving(announced, &ranges.table)
+            })
+        };
+        let mut updates = self.snapshot.subscribe();
+        if !keeps_keys(&updates.borrow()) {
+            return;
+        }
+        self.backend.mark_leaving(clock::now(), announced);
+        let moved = updates.wait_for(|snapshot| !keeps_keys(snapshot));
+        if timeout(Duration::from_millis(MAX_LEAVING_REPLY_MS), moved)
+            .await
+            .is_err()
+        {
+            log::info!(
+                "belief backend={} leaves with its keys: no move within {MAX_LEAVING_REPLY_MS} ms",
+                announced.incarnation.id
+            );
+        }
+    }
+}
--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::Method;
 use actix_http::StatusCode;
 use anyhow::Context;
 use anyhow::Result;
@@ -22,12 +21,10 @@
 use jy_http::server::LimitsFn;
 use jy_http::server::ReadLimits;
 use jy_kernel::clock;
-use jy_platform::announce;
 use jy_platform::headers;
 use jy_platform::store::StoreClient;
 use jy_policy::budget::BudgetLimits;
 use jy_policy::transfer::bytes_per_ms;
-use jy_types::endpoint::Announcement;
 use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
 use jy_types::time::Millis;
@@ -36,10 +33,9 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::sleep;
-use tokio::time::timeout;
 use uuid::Uuid;
 
-use crate::backend::AnnounceOutcome;
+use crate::announcements::AnnouncementListener;
 use crate::backend::LocalBackend;
 use crate::backend::SharedBackend;
 use crate::feed;
@@ -68,9 +64,6 @@
 const CALLER_DRAIN_MS: u64 = 2_500;
 /// Time before the SIGKILL at which the agent stops waiting for running requests, in milliseconds.
 const SHUTDOWN_MARGIN_MS: u64 = 700;
-/// Longest delay of the answer to a backend server that leaves, in milliseconds. The platform takes an answer
-/// that comes within a second.
-const MAX_LEAVING_REPLY_MS: u64 = 400;
 /// Time in which the answers to unfinished requests are written at the end of the shutdown, in milliseconds.
 const LAST_ANSWERS_MS: u64 = 200;
 const SHUTDOWN_POLL_MS: u64 = 20;
@@ -277,8 +270,8 @@
     }
 
     /// Has the agent's record rewritten when the listed state of the backend server changes, and whenever a new
-    /// snapshot lacks the record, has it as lapsed, or shows that too few witnesses are left. Each new snapshot also removes the endpoints of absent
-    /// instances.
+    /// snapshot lacks the record, has it as lapsed, or shows that too few witnesses are left. Each new snapshot
+    /// also removes the endpoints of absent instances.
     async fn follow_record_changes(&self) {
         let mut backend_updates = self.backend.subscribe();
         let mut snapshot_updates = self.snapshot.subscribe();
@@ -318,8 +311,14 @@
     async fn listen(self: &Rc<Self>) -> Result<Vec<HttpListener>> {
         let listen = &self.settings.listen;
         let (agent, peer_agent) = (Rc::clone(self), Rc::clone(self));
-        let (ready_agent, announce_agent, metrics_agent) =
-            (Rc::clone(self), Rc::clone(self), Rc::clone(self));
+        let (ready_agent, metrics_agent) = (Rc::clone(self), Rc::clone(self));
+        let announcements = Rc::new(AnnouncementListener {
+            address: self.settings.backend,
+            backend: Rc::clone(&self.backend),
+            gate: Rc::clone(&self.gate),
+            member: Rc::clone(&self.member),
+            snapshot: Rc::clone(&self.snapshot),
+        });
         let caller_limits: LimitsFn = Rc::new(move || agent.caller_limits());
         let peer_limits: LimitsFn = Rc::new(|| ReadLimits {
             idle_ms: PEER_IDLE_TIMEOUT_MS,
@@ -336,8 +335,8 @@
             Box::pin(async move { response })
         });
         let announce: Handler = Rc::new(move |request, _| {
-            let agent = Rc::clone(&announce_agent);
-            Box::pin(async move { agent.answer_announcement(&request).await })
+            let announcements = Rc::clone(&announcements);
+            Box::pin(async move { announcements.answer(&request).await })
         });
         let metrics: Handler = Rc::new(move |_, _| {
             let response = metrics_agent.answer_metrics();
@@ -438,107 +437,6 @@
         }
     }
 
-    /// Answers an announcement of the backend server.
-    async fn answer_announcement(&self, request: &HttpRequest) -> HttpResponse {
-        let id = match announce::announced_id(request.path()) {
-            Ok(id) => id,
-            Err(error) => {
-                return refusal::rejected(StatusCode::BAD_REQUEST, &error.to_string());
-            }
-        };
-        if request.method == Method::DELETE {
-            self.backend.mark_ended(clock::now(), &id);
-            return HttpResponse::new(StatusCode::OK, "{}");
-        }
-        let announced = match announce::decode(id, &request.body) {
-            Ok(announced) => announced,
-            Err(error) => {
-                log::warn!("ignored an invalid announcement: {error}");
-                return refusal::rejected(StatusCode::BAD_REQUEST, &error.to_string());
-            }
-        };
-        self.wait_for_moves(&announced).await;
-        let snapshot = Rc::clone(&self.snapshot.borrow());
-        let ranges = snapshot.ranges.get(&announced.service);
-        let table = ranges.map(|ranges| &*ranges.table);
-        let authority = self.member.authority();
-        let address = self.settings.backend;
-        let outcome = self
-            .backend
-            .announce(clock::now(), address, announced, table, authority);
-        self.start_measurement();
-        match outcome {
-            AnnounceOutcome::Accepted(reply) => match announce::encode_reply(reply.as_ref()) {
-                Ok(body) => {
-                    let mut response = HttpResponse::new(StatusCode::OK, "")
-                        .with_header("content-type", "application/json");
-                    response.body = body;
-                    response
-                }
-                Err(error) => {
-                    log::error!("could not encode a grant: {error}");
-                    HttpResponse::new(StatusCode::OK, "{}")
-                }
-            },
-            AnnounceOutcome::Outdated => HttpResponse::new(StatusCode::OK, "{}"),
-            AnnounceOutcome::Foreign => {
-                log::warn!("ignored an announcement: its address is not {address}");
-                refusal::rejected(StatusCode::BAD_REQUEST, "the address is another instance's")
-            }
-        }
-    }
-
-    /// Measures the service time of a new incarnation of the backend server if its service is divided by key.
-    fn start_measurement(&self) {
-        let announced = self
-            .backend
-            .read(|state| state.map(|state| Name::clone(&state.announced.service)));
-        let health_path = announced.and_then(|service| {
-            let snapshot = self.snapshot.borrow();
-            let rule = snapshot.routes.as_ref()?.services.get(&service)?;
-            rule.keyed.then(|| Name::clone(&rule.health_path))
-        });
-        let Some(health_path) = health_path else {
-            return;
-        };
-        let Some(incarnation) = self.backend.take_measurement() else {
-            return;
-        };
-        let (gate, backend) = (Rc::clone(&self.gate), Rc::clone(&self.backend));
-        actix_rt::spawn(async move {
-            if let Some(percent) = gate.measure_service_time(&health_path).await {
-                backend.set_service_time(&incarnation, percent);
-            }
-        });
-    }
-
-    /// Waits until the keys of a leaving backend server are marked for their next owners, for at most
-    /// [`MAX_LEAVING_REPLY_MS`].
-    async fn wait_for_moves(&self, announced: &Announcement) {
-        let keeps_keys = |snapshot: &FleetSnapshot| {
-            let ranges = snapshot.ranges.get(&announced.service);
-            ranges.is_some_and(|ranges| {
-                self.backend
-                    .keeps_keys_while_leaving(announced, &ranges.table)
-            })
-        };
-        let mut updates = self.snapshot.subscribe();
-        if !keeps_keys(&updates.borrow()) {
-            return;
-        }
-        self.backend.mark_leaving(clock::now(), announced);
-        let moved = updates.wait_for(|snapshot| !keeps_keys(snapshot));
-        if timeout(Duration::from_millis(MAX_LEAVING_REPLY_MS), moved)
-            .await
-            .is_err()
-        {
-            log::info!(
-                "belief backend={} leaves with its keys: no move within {MAX_LEAVING_REPLY_MS} ms",
-                announced.incarnation.id
-            );
-        }
-    }
-
     /// Answers with all metrics as text.
     fn answer_metrics(&self) -> HttpResponse {
         let now = clock::now();
--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -138,9 +138,9 @@
     #[must_use]
     pub fn listed(&self) -> Option<ListedBackend> {
         let state = self.state.borrow();
-        let state = state
-            .as_ref()
-            .filter(|state| state.is_alive() || (state.is_running() && self.drain_ms > 0))?;
+        let state = state.as_ref().filter(|state| {
+            state.is_alive() || (state.is_running() && self.serves_while_leaving())
+        })?;
         let phase = if state.leaving_since.is_some() {
             BackendPhase::Draining
         } else {
@@ -155,15 +155,21 @@
         })
     }
 
+    /// Whether a leaving backend server runs requests for the keys that it holds.
+    const fn serves_while_leaving(&self) -> bool {
+        self.drain_ms > 0
+    }
+
     /// Whether the backend server may be sent a request now: any if it is serving, and those for the keys that
     /// it holds for some time after it has begun to leave.
     #[must_use]
     pub fn accepts(&self, now: Millis, state: &BackendState, is_keyed: bool) -> bool {
-        let leaves_soon = || {
+        let is_within_drain = || {
             let since = state.leaving_since;
             since.is_some_and(|since| now < leaving::serve_until(since, self.drain_ms))
         };
-        state.is_serving() || (is_keyed && state.is_running() && !state.disowned && leaves_soon())
+        state.is_serving()
+            || (is_keyed && state.is_running() && !state.disowned && is_within_drain())
     }
 
     /// Whether no announcement has arrived, but the first one may still be due since the agent has just
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 //! [`range_manager`] the ranges of keys. [`support`] distinguishes owners of keys that are lost from those
 //! that are cut off from the store, and [`lost_owners`] lists the lost ones.
 
+pub mod announcements;
 pub mod app;
 pub mod backend;
 pub mod dispatch;
