--- a/crates/edge/src/transfer.rs
+++ b/crates/edge/src/transfer.rs
@@ -32,6 +32,9 @@
 use crate::forward::NotRunCause;
 use crate::gate::LocalGate;
 
+/// Result of asking another agent to admit a body; the error is that agent's report.
+pub type Result<T> = std::result::Result<T, GateReport>;
+
 /// Path at which gates admit large bodies.
 pub const TRANSFER_PATH: &str = "/jy/transfer";
 /// Size of the body, in bytes.
@@ -77,7 +80,7 @@
     address: SocketAddr,
     job: &GateJob,
     admit_by: Millis,
-) -> Result<TransferGrant, GateReport> {
+) -> Result<TransferGrant> {
     let now = clock::now();
     let mut request = HttpRequest::new(Method::POST, TRANSFER_PATH).with_header("host", "fleet");
     forward::set_job_headers(&mut request.headers, job, now);
@@ -169,7 +172,7 @@
         job: &GateJob,
         body_bytes: u64,
         admit_by: Millis,
-    ) -> Result<TransferGrant, GateOutcome> {
+    ) -> std::result::Result<TransferGrant, GateOutcome> {
         let not_run = |cause, retry_ms| Err(GateOutcome::NotRun { cause, retry_ms });
         let now = clock::now();
         if let Err(cause) = self.check_dispatchable(now, job) {
