--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -4,7 +4,6 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,13 +22,8 @@
 use jy_policy::budget::SendCounter;
 use jy_policy::budget::SendPurpose;
 use jy_policy::choice::EndpointTable;
-use jy_policy::choice::LargeBody;
-use jy_policy::choice::PickDemand;
-use jy_policy::moving::TYPICAL_MOVE_GAP_MS;
-use jy_policy::moving::max_wait_ms;
 use jy_policy::transfer::admit_by;
 use jy_policy::transfer::transfer_rate;
-use jy_ranges::table::RangeOwner;
 use jy_types::name::Name;
 use jy_types::routing::RouteRule;
 use jy_types::time::Millis;
@@ -52,8 +46,8 @@
 use crate::metrics::EdgeMetrics;
 use crate::refusal;
 use crate::request_log::RequestLog;
-use crate::snapshot::FleetSnapshot;
-use crate::transfer;
+
+mod selection;
 
 /// Limit on the gates asked for one request. A gate refuses at once if it can't serve a request in time.
 const MAX_GATES_ASKED: usize = 4;
@@ -492,81 +486,6 @@
         is_spent
     }
 
-    /// Chooses the next agent. If a key has no reachable owner at the first attempt, waits for another owner.
-    async fn next_node(&self, call: &mut CallState, is_keyed: bool) -> Option<Name> {
-        if call.attempts_started >= MAX_GATES_ASKED {
-            return None;
-        }
-        if !is_keyed {
-            return self.pick_node(call);
-        }
-        let owner_node = self.key_owner(call);
-        if owner_node.is_some() || call.attempts_started > 0 {
-            return owner_node;
-        }
-        call.retry_ms = call.retry_ms.max(TYPICAL_MOVE_GAP_MS);
-        call.last_failure = "no-holder";
-        self.wait_for_owner_change(call).await;
-        self.key_owner(call)
-    }
-
-    /// Chooses an untried agent for a request to a service that is not divided by key.
-    fn pick_node(&self, call: &CallState) -> Option<Name> {
-        let now = clock::now();
-        let choices = {
-            let snapshot = self.snapshot.borrow();
-            snapshot.route_choices(now, &call.job.service, &self.zone)
-        };
-        let mut rng = self.rng.borrow_mut();
-        let endpoints = self.endpoints.borrow();
-        let mut demand = PickDemand::new(&call.tried);
-        if transfer::needs_grant(call.job.request.body.len() as u64) {
-            demand = demand.with_large_body(LargeBody {
-                at: &self.node,
-                objective_ms: call.rule.objective_ms,
-            });
-        }
-        endpoints.pick(now, &choices, demand, &mut *rng)
-    }
-
-    /// Chooses an agent to hedge a slow request, if the attempts and the retry budget allow it.
-    fn pick_hedge_node(&self, call: &CallState) -> Option<Name> {
-        let node = self.pick_node(call)?;
-        let has_attempts = call.backends_reached + 1 < call.rule.max_attempts;
-        (has_attempts
-            && self.spend_retry_budget(clock::now(), &call.job.service, SendPurpose::Hedge))
-        .then_some(node)
-    }
-
-    /// Returns the agent whose backend server owns a request's key, if it may be asked.
-    fn key_owner(&self, call: &CallState) -> Option<Name> {
-        let snapshot = self.snapshot.borrow();
-        let ranges = snapshot.ranges.get(&call.job.service)?;
-        let owner = &ranges.table.find(call.job.key?)?.owner;
-        let observed = snapshot.instances.get(&owner.node)?;
-        // The owner is asked even if its record has lapsed, because no other backend server has the key while
-        // the table names this owner. An agent that is shutting down serves its keys until it stops.
-        let backend = observed.record.backend.as_ref();
-        let is_current = backend.is_some_and(|backend| backend.incarnation == owner.incarnation);
-        let is_zone_out =
-            observed.lapsed.is_some() && snapshot.zones_out.contains(&observed.record.zone);
-        let endpoints = self.endpoints.borrow();
-        let is_excluded = is_zone_out || endpoints.is_backing_off(clock::now(), &owner.node);
-        let is_usable = is_current && !is_excluded && !call.tried.contains(&owner.node);
-        is_usable.then(|| Name::clone(&owner.node))
-    }
-
-    /// Waits until the request's key has another owner or fence, for at most [`max_wait_ms`].
-    async fn wait_for_owner_change(&self, call: &CallState) {
-        self.refresh_requested.notify_one();
-        let previous_owner = owner_of(&self.snapshot.borrow(), call);
-        let mut updates = self.snapshot.subscribe();
-        let wait_ms = max_wait_ms(clock::now(), call.job.objective, call.job.deadline);
-        let max_wait = Duration::from_millis(wait_ms);
-        let changed = updates.wait_for(|snapshot| owner_of(snapshot, call) != previous_owner);
-        let _is_changed = timeout(max_wait, changed).await;
-    }
-
     /// Starts an attempt at an agent.
     fn start_attempt(self: &Rc<Self>, call: &mut CallState, node: Name, attempts: &Attempts) {
         call.attempts_started += 1;
@@ -600,38 +519,6 @@
         }));
     }
 
-    /// Returns the address of another agent's gate, or `None` for this agent.
-    fn gate_address(&self, node: &Name) -> Option<SocketAddr> {
-        if *node == self.node {
-            return None;
-        }
-        let snapshot = self.snapshot.borrow();
-        snapshot
-            .instances
-            .get(node)
-            .map(|observed| observed.record.gate)
-    }
-
-    /// Updates the endpoint table from the report of an attempt.
-    fn apply_report(&self, node: &Name, report: &GateReport) {
-        let now = clock::now();
-        let mut endpoints = self.endpoints.borrow_mut();
-        match report.load {
-            Some(load) => endpoints.record_report(now, node, load),
-            None => endpoints.record_unreachable(now, node),
-        }
-        match &report.outcome {
-            GateOutcome::Answered(response) => {
-                endpoints.record_outcome(node, !response.status.is_server_error());
-            }
-            GateOutcome::Unknown { .. } => endpoints.record_outcome(node, false),
-            GateOutcome::NotRun { cause, .. } if cause.reached_backend() => {
-                endpoints.record_outcome(node, false);
-            }
-            GateOutcome::NotRun { .. } => {}
-        }
-    }
-
     /// Whether a service is divided by key, so that requests go to the owner of their key.
     fn is_keyed(&self, service: &str) -> bool {
         let snapshot = self.snapshot.borrow();
@@ -640,10 +527,3 @@
         rule.is_some_and(|rule| rule.keyed)
     }
 }
-
-/// Returns the owner and the fence of a request's key.
-fn owner_of(snapshot: &FleetSnapshot, call: &CallState) -> Option<(RangeOwner, u64)> {
-    let ranges = snapshot.ranges.get(&call.job.service)?;
-    let range = ranges.table.find(call.job.key?)?;
-    Some((range.owner.clone(), range.fence))
-}
