--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -4,13 +4,11 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use actix_http::StatusCode;
 use anyhow::Context;
 use anyhow::Result;
 use futures_util::future::LocalBoxFuture;
-use jy_config::edge;
 use jy_config::edge::EdgeSettings;
 use jy_http::message::HttpRequest;
 use jy_http::message::HttpResponse;
@@ -32,7 +30,6 @@
 use tokio::signal::unix::signal;
 use tokio::sync::Notify;
 use tokio::sync::watch;
-use tokio::time::sleep;
 use uuid::Uuid;
 
 use crate::announcements::AnnouncementListener;
@@ -59,16 +56,9 @@
 use crate::tasks::TaskStarter;
 use crate::transfer;
 
-/// Time from SIGTERM until the agent accepts no more requests, in milliseconds. The platform checks readiness
-/// once a second and stops sending callers after two negative answers.
-const CALLER_DRAIN_MS: u64 = 2_500;
-/// Time before the SIGKILL at which the agent stops waiting for running requests, in milliseconds.
-const SHUTDOWN_MARGIN_MS: u64 = 700;
-/// Time in which the answers to unfinished requests are written at the end of the shutdown, in milliseconds.
-const LAST_ANSWERS_MS: u64 = 200;
-const SHUTDOWN_POLL_MS: u64 = 20;
-/// The settings file is polled because it may change without a signal.
-const SETTINGS_POLL_MS: u64 = 1_000;
+mod reload;
+mod shutdown;
+
 /// Idle timeout of connections on all listeners except the callers', in milliseconds. It is longer than any
 /// gateway keeps an idle connection to another agent, so that no request is sent on a connection that is being
 /// closed.
@@ -124,7 +114,7 @@
         agent.settings.service,
         agent.settings.store
     );
-    actix_rt::spawn(follow_settings(Rc::clone(&agent), path.into()));
+    actix_rt::spawn(reload::follow_settings(Rc::clone(&agent), path.into()));
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -480,47 +470,6 @@
             .map(|ranges| ranges.table.owned(&owner).count() as u64)
             .sum()
     }
-
-    /// Shuts the agent down: reports it as not ready, closes the listeners after a delay, and waits for running
-    /// requests.
-    async fn shut_down(&self, listeners: &[HttpListener]) {
-        let started_at = clock::now();
-        let grace_ms = self
-            .settings
-            .bounds
-            .grace_ms
-            .saturating_sub(SHUTDOWN_MARGIN_MS);
-        let grace_end = started_at.plus(grace_ms);
-        log::info!(
-            "stop requested; reporting not ready, accepting requests for up to {CALLER_DRAIN_MS} ms"
-        );
-        self.is_shutting_down.set(true);
-        self.member.request_update();
-        let drain_ms = CALLER_DRAIN_MS.min(grace_ms / 2);
-        sleep(Duration::from_millis(drain_ms)).await;
-        for listener in listeners {
-            listener.close();
-        }
-        let running = || listeners.iter().map(HttpListener::running).sum::<usize>();
-        while running() > 0 && clock::now() < grace_end {
-            sleep(Duration::from_millis(SHUTDOWN_POLL_MS)).await;
-        }
-        self.backend.close();
-        let unfinished = running();
-        if unfinished > 0 {
-            self.gate.refuse_waiting();
-            self.gateway.end();
-            let written_by = clock::now().plus(LAST_ANSWERS_MS);
-            while running() > 0 && clock::now() < written_by {
-                sleep(Duration::from_millis(SHUTDOWN_POLL_MS)).await;
-            }
-        }
-        log::info!(
-            "stop unfinished={unfinished} after_ms={} still_running={}",
-            clock::now().since(started_at),
-            running()
-        );
-    }
 }
 
 /// Creates the function that builds the agent's current record.
@@ -560,43 +509,3 @@
     })?;
     Ok(listener)
 }
-
-/// Applies changes of the settings file: at SIGHUP, and every [`SETTINGS_POLL_MS`] milliseconds.
-///
-/// Only the service and the address of the backend server change in a running agent.
-async fn follow_settings(agent: Rc<EdgeAgent>, path: Name) {
-    let mut hangup = match signal(SignalKind::hangup()) {
-        Ok(hangup) => hangup,
-        Err(error) => {
-            log::error!(
-                "could not catch SIGHUP: {error}; changes of the settings file are not applied"
-            );
-            return;
-        }
-    };
-    let mut current = agent.settings.clone();
-    loop {
-        tokio::select! {
-            _ = hangup.recv() => log::info!("reload requested"),
-            () = sleep(Duration::from_millis(SETTINGS_POLL_MS)) => {}
-        }
-        let read_result = std::fs::read_to_string(&*path);
-        let text = match read_result {
-            Ok(text) => text,
-            Err(error) => {
-                log::warn!("could not read {path}: {error}; keeping the previous settings");
-                continue;
-            }
-        };
-        match edge::parse(&path, &text) {
-            Ok(next) if next == current => {}
-            Ok(next) => {
-                log::info!("reload service={} backend={}", next.service, next.backend);
-                agent.gateway.set_origin(Name::clone(&next.service));
-                agent.gate.set_address(next.backend);
-                current = next;
-            }
-            Err(findings) => log::warn!("{findings}; keeping the previous settings"),
-        }
-    }
-}
