edge: test that a leaving owner's announcement waits for the move of its keys

Cause: the wait that lets a leaving owner release its keys without another announcement had no test. Change: keeps_keys_while_leaving_until_table_moves_them in test_backend. Measured: it passes; no code changes.

--- a/crates/edge/tests/test_backend.rs
+++ b/crates/edge/tests/test_backend.rs
@@ -299,3 +299,36 @@
     backend.mark_ended(Millis(200), "i-1");
     expect_that!(accepts(&backend, 201, true), eq(false));
 }
+
+/// Load pattern: owners leave one after the other. Guards against a leaving owner that is granted its keys once
+/// more and releases them an announcement later: its announcement is answered when the table moves them.
+#[gtest]
+fn keeps_keys_while_leaving_until_table_moves_them() {
+    let backend = holding_backend();
+    let next = RangeOwner {
+        node: "m".into(),
+        ..owner(2)
+    };
+    let table = RangeTable::new(&[(owner(1), 1), (next.clone(), 1)]).expect("two owners");
+    let leaving = Announcement {
+        phase: BackendPhase::Draining,
+        ..announcement(1, 2)
+    };
+    expect_that!(backend.keeps_keys_while_leaving(&leaving, &table), eq(true));
+    expect_that!(
+        backend.keeps_keys_while_leaving(&announcement(1, 2), &table),
+        eq(false),
+        "it does not leave"
+    );
+    let own: Vec<(u16, u16)> = table
+        .owned(&owner(1))
+        .map(|range| (range.first, range.last))
+        .collect();
+    let moved = own.iter().fold(table, |table, (first, last)| {
+        table.with_move(&owner(1), *first, *last, &next)
+    });
+    expect_that!(
+        backend.keeps_keys_while_leaving(&leaving, &moved),
+        eq(false)
+    );
+}
