--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 
 mod case_drain;
 mod case_keys;
+mod case_left;
 mod case_memory;
 mod endpoint;
 mod fleet;
@@ -59,6 +60,7 @@
     let verdict = match case.as_str() {
         "drain" => case_drain::run(&record, has_trouble),
         "keys" => case_keys::run(&record, has_trouble),
+        "left" => case_left::run(&record, has_trouble),
         "memory" => case_memory::run(&record, has_trouble),
         _ => Err(Error::other(format!("unknown case {case}"))),
     };
--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -16,8 +16,8 @@
 
 struct RecordState {
     file: BufWriter<File>,
-    /// How often each request was run.
-    runs: BTreeMap<String, usize>,
+    /// When and where each request was run.
+    runs: BTreeMap<String, Vec<(u64, String)>>,
     /// Keys that were given to an endpoint while another one worked on them.
     given_at_work: usize,
 }
@@ -67,7 +67,8 @@
     pub fn run(&self, id: &str, endpoint: &str, body: &[u8]) {
         let at_ms = self.now_ms();
         let mut state = self.state.lock().unwrap();
-        *state.runs.entry(id.into()).or_default() += 1;
+        let runs = state.runs.entry(id.into()).or_default();
+        runs.push((at_ms, endpoint.into()));
         let length = body.len();
         let at = at_ms as f64 / 1_000.0;
         let _ = writeln!(
@@ -76,8 +77,8 @@
         );
     }
 
-    /// Returns how often each request was run.
-    pub fn runs(&self) -> BTreeMap<String, usize> {
+    /// Returns when, in milliseconds, and at which endpoint each request was run.
+    pub fn runs(&self) -> BTreeMap<String, Vec<(u64, String)>> {
         self.state.lock().unwrap().runs.clone()
     }
 
