--- a/review/standins/src/endpoint.rs
+++ b/review/standins/src/endpoint.rs
@@ -27,6 +27,10 @@
 const RELEASE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time within which the answer to a liveness report counts.
 const REPORT_LIMIT: Duration = Duration::from_secs(1);
+/// From a liveness report to the moment at which the endpoint turns cold.
+const COLD_DELAY: Duration = Duration::from_millis(30);
+/// Requests in one second at which the endpoint crashes while it is cold: well above the 14 of the site.
+pub const MAX_COLD_PER_SECOND: usize = 26;
 /// Requests that wait for a slot at most.
 const MAX_WAITING: usize = 24;
 
@@ -62,6 +66,9 @@
     running: usize,
     waiting: usize,
     sequence: u64,
+    cold_until: Option<Instant>,
+    /// When requests arrived while the endpoint was cold.
+    cold_arrivals: Vec<Instant>,
     is_draining: bool,
     is_drain_acknowledged: bool,
     has_left: bool,
@@ -115,7 +122,8 @@
 
     fn answer(&self, request: &HttpMessage) -> Option<HttpMessage> {
         if request.path() == "/health" {
-            let response = HttpMessage::response(200, "");
+            let cold_ms = self.cold_left().as_millis().to_string();
+            let response = HttpMessage::response(200, "").with("X-Cold-Ms", &cold_ms);
             return Some(
                 self.with_load(response)
                     .with("X-Instance-Id", &self.config.id),
@@ -147,6 +155,20 @@
             drop(state);
             return Some(refused(421).with("X-Instance-Id", &self.config.id));
         }
+        if state.cold_until.is_some_and(|until| Instant::now() < until) {
+            state.cold_arrivals.push(Instant::now());
+            let arrivals = state.cold_arrivals.iter().rev();
+            let recent = arrivals.take_while(|at| at.elapsed() < Duration::from_secs(1));
+            if recent.count() > MAX_COLD_PER_SECOND {
+                let running = state.running;
+                drop(state);
+                let id = &self.config.id;
+                let text = format!("endpoint {id} crashes, cold, with {running} running requests");
+                self.record.say(&text);
+                self.end();
+                return None;
+            }
+        }
         if state.waiting >= MAX_WAITING {
             drop(state);
             return Some(refused(503));
@@ -240,6 +262,10 @@
         let mut state = self.state.lock().unwrap();
         state.sequence += 1;
         state.finish_releases();
+        let cold_left = |until: Instant| until.saturating_duration_since(Instant::now());
+        let cold_ms = state
+            .cold_until
+            .map_or(0, |until| cold_left(until).as_millis() as u64);
         let phase = if state.is_draining {
             "draining"
         } else {
@@ -273,7 +299,7 @@
                 object([
                     ("state", text(phase)),
                     ("sequence", number(state.sequence)),
-                    ("cold_remaining_ms", number(0)),
+                    ("cold_remaining_ms", number(cold_ms)),
                 ]),
             ),
         ];
@@ -371,6 +397,35 @@
         (!left.is_zero()).then(|| (id.clone(), left))
     }
 
+    /// Turns cold for some time, right after the next liveness report.
+    pub fn turn_cold(&self, time: Duration) {
+        let sequence = self.state.lock().unwrap().sequence;
+        while self.state.lock().unwrap().sequence == sequence {
+            thread::sleep(Duration::from_millis(1));
+        }
+        thread::sleep(COLD_DELAY);
+        self.state.lock().unwrap().cold_until = Some(Instant::now() + time);
+        self.record
+            .note(&format!("endpoint {} turns cold", self.config.id));
+    }
+
+    /// Returns how much longer the endpoint stays cold.
+    fn cold_left(&self) -> Duration {
+        let until = self.state.lock().unwrap().cold_until;
+        until.map_or(Duration::ZERO, |until| {
+            until.saturating_duration_since(Instant::now())
+        })
+    }
+
+    /// Returns the most requests that arrived within one second while the endpoint was cold.
+    pub fn most_cold_arrivals(&self) -> usize {
+        let arrivals = self.state.lock().unwrap().cold_arrivals.clone();
+        let is_inside =
+            |start: Instant, at: Instant| at >= start && at < start + Duration::from_secs(1);
+        let count = |start: &Instant| arrivals.iter().filter(|at| is_inside(*start, **at)).count();
+        arrivals.iter().map(count).max().unwrap_or(0)
+    }
+
     /// Reports from now on that the endpoint drains.
     pub fn drain(&self) {
         self.state.lock().unwrap().is_draining = true;
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the review: `jy-review CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held, and 2 if
 //! the case couldn't run.
 
+mod case_cold;
 mod case_drain;
 mod case_keys;
 mod case_left;
@@ -58,6 +59,7 @@
     };
     let record = Arc::new(Record::new(Path::new(record))?);
     let verdict = match case.as_str() {
+        "cold" => case_cold::run(&record, has_trouble),
         "drain" => case_drain::run(&record, has_trouble),
         "keys" => case_keys::run(&record, has_trouble),
         "left" => case_left::run(&record, has_trouble),
