--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,4 +1,4 @@
-//! The cases of the review: `jy-review CASE RECORD`. Exits with 1 if the rule was broken, 0 if it held, and 2 if
+//! The cases of the review: `jy-review CASE RECORD on|off`, with or without the disruption. Exits with 1 if the rule was broken, 0 if it held, and 2 if
 //! the case couldn't run.
 
 mod case_cold;
@@ -53,9 +53,14 @@
     exit(code);
 }
 
-fn run(arguments: &[String], has_trouble: bool) -> Result<Verdict> {
-    let [_, case, record] = arguments else {
-        return Err(Error::other("usage: jy-review CASE RECORD"));
+fn run(arguments: &[String]) -> Result<Verdict> {
+    let [_, case, record, trouble] = arguments else {
+        return Err(Error::other("usage: jy-review CASE RECORD on|off"));
+    };
+    let has_trouble = match trouble.as_str() {
+        "on" => true,
+        "off" => false,
+        _ => return Err(Error::other("trouble is either on or off")),
     };
     let record = Arc::new(Record::new(Path::new(record))?);
     let verdict = match case.as_str() {
