--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,5 +1,5 @@
-//! The cases of the review: `jy-review CASE RECORD on|off`, with or without the disruption. Exits with 1 if the rule was broken, 0 if it held, and 2 if
-//! the case couldn't run.
+//! The cases of the review: `jy-review CASE RECORD on|off`, with or without the disruption. Exits with 1 if the
+//! rule was broken, 0 if it held, and 2 if the case couldn't run.
 
 mod case_cold;
 mod case_drain;
@@ -35,14 +35,13 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     thread::spawn(|| {
         thread::sleep(MAX_TIME);
         fleet::kill_all();
         eprintln!("the case took too long");
         exit(2);
     });
-    let code = match run(&arguments, has_trouble) {
+    let code = match run(&arguments) {
         Ok(Verdict::Held) => 0,
         Ok(Verdict::Broken) => 1,
         Err(error) => {
