edge: keep the keys of a backend server that finishes its requests

Cause: BackendState::is_free took a refused connection as the end of the process and of all its holds. The store's outage and the agent's restart only delay the move until the listener is closed.

Change: a refused connection frees keys only of a backend server that does not leave and at which no request may run (sent_requests). Work of earlier runs of the agent, and requests whose connection the agent closed, count for as long as they may run. A later incarnation is granted nothing while a request to an earlier one is unanswered. A crash closes the connections, so that its keys move as early as before. The log line says what the agent concludes.

--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use jy_kernel::clock;
 use jy_policy::leaving;
 use jy_ranges::table::KeyRange;
 use jy_ranges::table::RangeOwner;
@@ -22,6 +23,8 @@
 use tokio::sync::watch;
 
 use crate::member::AUTHORITY_MARGIN_MS;
+use crate::sent_requests::SentRequests;
+use crate::sent_requests::SentTicket;
 
 /// Duration of a grant in announcement intervals, so that a restart of the agent does not end it.
 const GRANT_INTERVALS: u64 = 4;
@@ -58,6 +61,15 @@
     pub held_until: Millis,
     /// Ranges that it has released, each with the handover text for the next holder.
     pub released: Vec<ReleasedRange>,
+    /// Requests that may still run there or at an earlier incarnation.
+    pub sent: SentRequests,
+}
+
+/// A request that is being sent to the backend server. On drop, its connection is closed without an answer.
+pub struct RunningRequest {
+    backend: SharedBackend,
+    ticket: SentTicket,
+    has_ended: bool,
 }
 
 /// Outcome of an announcement.
@@ -204,6 +216,7 @@
         let is_change = current
             .as_ref()
             .is_none_or(|state| state.is_changed_by(&announced));
+        let mut sent = SentRequests::new();
         if !is_same_incarnation {
             log::info!(
                 "belief backend={} born={} service={} state={:?} cold_ms={}",
@@ -213,7 +226,15 @@
                 announced.phase,
                 announced.cold_ms
             );
-            *current = None;
+            match current.take() {
+                Some(state) => sent = state.sent,
+                // A backend server that has just started holds nothing.
+                None if announced.held.is_empty() => {}
+                None => {
+                    let until = self.agent_started.plus(self.longest_grant_ms);
+                    sent.add_earlier_work(&announced.incarnation, until);
+                }
+            }
         } else if is_change {
             log::info!(
                 "belief backend={} state={:?} sequence={}",
@@ -234,6 +255,7 @@
             granted: Vec::new(),
             held_until: now.plus(self.longest_grant_ms),
             released: Vec::new(),
+            sent,
         });
         state.released.extend(announced.released.iter().cloned());
         if announced.phase == BackendPhase::Draining {
@@ -247,6 +269,8 @@
             node: Name::clone(&self.node),
             incarnation: state.announced.incarnation.clone(),
         };
+        // An earlier incarnation may hold the same keys until its last requests have ended.
+        let ranges = ranges.filter(|_| !state.sent.runs_elsewhere(&owner.incarnation));
         let reply = ranges.and_then(|table| self.grant(now, table, &owner, authority));
         if let Some(reply) = &reply {
             state.granted = reply.ranges.iter().map(to_held_range).collect();
@@ -360,7 +384,8 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
-    /// Marks the backend server as refusing connections, which means that its process has ended.
+    /// Marks the backend server as refusing connections: its process has ended, or it exits and only finishes
+    /// the requests that it runs.
     pub fn mark_refused(&self, id: &str) {
         let mut current = self.state.borrow_mut();
         let Some(state) = current.as_mut() else {
@@ -369,8 +394,16 @@
         if *state.announced.incarnation.id != *id || state.refuses {
             return;
         }
-        log::info!("belief backend={id} refuses connections");
         state.refuses = true;
+        let now = clock::now();
+        log::info!(
+            "belief backend={id} refuses connections leaving={} ended={} exited={} held={} hold_left_ms={}",
+            state.leaving_since.is_some(),
+            state.ended,
+            state.has_exited(now),
+            state.announced.held.len(),
+            state.held_until.since(now)
+        );
         drop(current);
         self.changes.send_modify(|count| *count += 1);
     }
@@ -391,6 +424,40 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// Records that a request is sent to an incarnation of the backend server, until the result is dropped.
+    #[must_use]
+    pub fn start_request(
+        self: &Rc<Self>,
+        incarnation: &BackendIncarnation,
+        deadline: Millis,
+    ) -> Option<RunningRequest> {
+        let mut current = self.state.borrow_mut();
+        let ticket = current.as_mut()?.sent.add(incarnation, deadline);
+        Some(RunningRequest {
+            backend: Rc::clone(self),
+            ticket,
+            has_ended: false,
+        })
+    }
+
+    /// Removes a request that has ended, or marks it as abandoned.
+    fn end_request(&self, now: Millis, ticket: SentTicket, has_ended: bool) {
+        let mut current = self.state.borrow_mut();
+        let Some(state) = current.as_mut() else {
+            return;
+        };
+        if has_ended {
+            state.sent.remove(ticket);
+        } else {
+            state.sent.abandon(now, ticket);
+        }
+        let may_free_keys = state.refuses;
+        drop(current);
+        if may_free_keys {
+            self.changes.send_modify(|count| *count += 1);
+        }
+    }
+
     /// Stops the dispatch of requests for good.
     pub fn close(&self) {
         self.is_closed.set(true);
@@ -447,10 +514,19 @@
         is_granted || (self.granted.is_empty() && self.announced.held.iter().any(contains))
     }
 
+    /// Whether its process has ended. One that exits refuses connections while it finishes its requests: after
+    /// it has begun to leave, a refused connection says nothing about them, and before that it may have begun to
+    /// leave without the agent's knowledge.
+    #[must_use]
+    pub fn has_exited(&self, now: Millis) -> bool {
+        let incarnation = &self.announced.incarnation;
+        self.refuses && self.leaving_since.is_none() && !self.sent.may_run(now, incarnation)
+    }
+
     /// Whether it has released a range, or can't hold the range any longer.
     #[must_use]
     pub fn is_free(&self, now: Millis, range: &KeyRange) -> bool {
-        if self.refuses || now >= self.held_until {
+        if self.has_exited(now) || now >= self.held_until {
             return true;
         }
         let overlaps = |held: &HeldRange| held.first <= range.last && range.first <= held.last;
@@ -478,6 +554,20 @@
     }
 }
 
+impl RunningRequest {
+    /// Records that the request was answered or not sent, or that the backend server closed its connection.
+    pub fn end(mut self) {
+        self.has_ended = true;
+    }
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        self.backend
+            .end_request(clock::now(), self.ticket, self.has_ended);
+    }
+}
+
 /// Returns the range that is held under a grant.
 fn to_held_range(range: &GrantedRange) -> HeldRange {
     HeldRange {
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -76,10 +76,16 @@
             header: headers::REQUEST_ID,
             id: &job.id,
         };
+        let running = self
+            .backend
+            .start_request(&target.incarnation, job.deadline);
         let result = self
             .pool
             .send(target.address, &request, Some(check), options)
             .await;
+        if let Some(running) = running {
+            running.end();
+        }
         match result {
             Ok(response) => self.handle_response(sent_at, rule, &target, response),
             Err(error) => self.handle_error(&target, &error),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod range_manager;
 pub mod refusal;
 pub mod request_log;
+pub mod sent_requests;
 pub mod snapshot;
 pub mod support;
 pub mod tasks;
--- a/crates/edge/tests/test_backend.rs
+++ b/crates/edge/tests/test_backend.rs
@@ -1,10 +1,12 @@
 //! Tests which announcements of a backend server are accepted, and which keys the agent grants to it.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use googletest::prelude::*;
 use jy_edge::backend::AnnounceOutcome;
 use jy_edge::backend::LocalBackend;
+use jy_kernel::clock;
 use jy_ranges::table::RangeOwner;
 use jy_ranges::table::RangeTable;
 use jy_types::endpoint::Announcement;
@@ -191,6 +193,112 @@
     expect_that!(backend.listed(), none());
 }
 
+/// Returns whether another owner may be given the keys of the backend server, which owns all of them.
+///
+/// # Panics
+///
+/// Panics if the table can't be created.
+fn is_free(backend: &LocalBackend, now: u64) -> bool {
+    let table = RangeTable::new(&[(owner(1), 1)]).expect("one owner");
+    let range = &table.ranges()[0];
+    backend.read(|state| state.is_some_and(|state| state.is_free(Millis(now), range)))
+}
+
+/// Guards against keys that have two owners at work: a backend server that exits refuses connections while it
+/// finishes its requests, and keeps the keys until it has released them or its grant has expired.
+#[gtest]
+fn mark_refused_leaving_backend_keeps_ranges() {
+    let backend = holding_backend();
+    announce_leaving(&backend, 100, 2);
+    backend.mark_refused("i-1");
+    expect_that!(is_free(&backend, 200), eq(false), "its grant runs");
+    expect_that!(is_free(&backend, 4_500), eq(true), "its grant has expired");
+    let backend = holding_backend();
+    backend.mark_ended(Millis(100), "i-1");
+    backend.mark_refused("i-1");
+    expect_that!(
+        is_free(&backend, 200),
+        eq(false),
+        "it reported its end without having announced that it leaves, and serves for some more time"
+    );
+}
+
+/// Guards against keys that have two owners at work: the reports of a backend server that exits may be late, so
+/// that only the requests at which it works show that its process has not ended.
+#[gtest]
+fn mark_refused_unanswered_request_keeps_ranges() {
+    let backend = Rc::new(holding_backend());
+    let deadline = clock::now().plus(60_000);
+    let (answered, abandoned) = (
+        backend.start_request(&owner(1).incarnation, deadline),
+        backend.start_request(&owner(1).incarnation, deadline),
+    );
+    backend.mark_refused("i-1");
+    expect_that!(is_free(&backend, 200), eq(false), "two requests run");
+    answered
+        .expect("the backend server has announced itself")
+        .end();
+    expect_that!(is_free(&backend, 200), eq(false), "one request runs");
+    drop(abandoned);
+    expect_that!(
+        is_free(&backend, 200),
+        eq(false),
+        "it may go on with a request whose connection the agent closed"
+    );
+    let crashed = Rc::new(holding_backend());
+    let request = crashed.start_request(&owner(1).incarnation, deadline);
+    crashed.mark_refused("i-1");
+    request
+        .expect("the backend server has announced itself")
+        .end();
+    expect_that!(
+        is_free(&crashed, 200),
+        eq(true),
+        "the end of its process closed the connection of its last request"
+    );
+}
+
+/// Guards against keys that have two owners at work: a run of the agent does not know the requests of the runs
+/// before it.
+#[gtest]
+fn mark_refused_after_agent_restart_keeps_ranges() {
+    let backend = unannounced_backend();
+    let table = RangeTable::new(&[(owner(1), 1)]).expect("one owner");
+    let announced = Announcement {
+        held: vec![HeldRange {
+            first: 0,
+            last: u16::MAX,
+            fence: 1,
+        }],
+        ..announcement(1, 7)
+    };
+    backend.announce(Millis(0), address(), announced, Some(&table), UNLIMITED);
+    backend.mark_refused("i-1");
+    expect_that!(is_free(&backend, 100), eq(false));
+    expect_that!(is_free(&backend, 4_500), eq(true), "its grant has expired");
+}
+
+/// Guards against keys that have two owners at work: a new incarnation announces itself while an earlier one,
+/// which has closed its listener, finishes a request.
+#[gtest]
+fn announce_new_incarnation_waits_for_earlier_requests() {
+    let backend = Rc::new(holding_backend());
+    let request = backend.start_request(&owner(1).incarnation, Millis(60_000));
+    let table = RangeTable::new(&[(owner(2), 1)]).expect("one owner");
+    let announce = |now, sequence| {
+        let announced = announcement(2, sequence);
+        backend.announce(Millis(now), address(), announced, Some(&table), UNLIMITED)
+    };
+    expect_that!(announce(200, 1), eq(&AnnounceOutcome::Accepted(None)));
+    request
+        .expect("the earlier incarnation was announced")
+        .end();
+    expect_that!(
+        announce(300, 2),
+        matches_pattern!(AnnounceOutcome::Accepted(some(anything())))
+    );
+}
+
 #[gtest]
 fn mark_disowned_serves_again_after_next_announcement() {
     let backend = unannounced_backend();
