edge: send nothing to a backend server that left before the agent started

Callers' requests reached a backend server that was about to exit: a restarted agent counted the time for which a leaving backend server serves from its own first announcement, although the run before had acknowledged the leaving seconds earlier.

Cause: leaving_since was set to the time of the announcement. Change: if the first announcement that a run of the agent hears says that the backend server leaves, its drain counts as over. Keys wait for their move then.

accepts_leaving_since_earlier_agent_run_takes_nothing fails before (true where false is expected), passes after.

--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -216,6 +216,7 @@
         let is_change = current
             .as_ref()
             .is_none_or(|state| state.is_changed_by(&announced));
+        let is_first_heard = current.is_none();
         let mut sent = SentRequests::new();
         if !is_same_incarnation {
             log::info!(
@@ -259,7 +260,13 @@
         });
         state.released.extend(announced.released.iter().cloned());
         if announced.phase == BackendPhase::Draining {
-            state.leaving_since.get_or_insert(now);
+            // An earlier run of the agent may have acknowledged that it leaves, at any time before.
+            let since = if is_first_heard {
+                now.minus(self.drain_ms)
+            } else {
+                now
+            };
+            state.leaving_since.get_or_insert(since);
         }
         state.announced = announced;
         state.last_heard = now;
--- a/crates/edge/tests/test_backend.rs
+++ b/crates/edge/tests/test_backend.rs
@@ -390,6 +390,16 @@
     );
 }
 
+/// Guards against new work for a backend server that has left: a run of the agent does not know when the run
+/// before it acknowledged that the backend server leaves.
+#[gtest]
+fn accepts_leaving_since_earlier_agent_run_takes_nothing() {
+    let backend = unannounced_backend().with_drain_ms(DRAIN_MS);
+    announce_leaving(&backend, 5_000, 9);
+    expect_that!(accepts(&backend, 5_001, true), eq(false));
+    expect_that!(accepts(&backend, 5_001, false), eq(false));
+}
+
 #[gtest]
 fn accepts_ended_without_notice_serves_keys_until_drained() {
     let backend = holding_backend();
