edge: send no requests for keys that a backend server only lists as held

Cause: a grant without ranges looked like no grant at all, so BackendState::holds fell back on the announced list, which names withdrawn keys for as long as requests for them run. Change: the fallback applies only before the first grant of this run of the agent.

holds_withdrawn_keys_are_not_held fails before (true where false is expected), passes after.

--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -55,8 +55,8 @@
     pub leaving_since: Option<Millis>,
     /// Whether it has rejected a request as meant for another backend server since then.
     pub disowned: bool,
-    /// The ranges of the newest grant.
-    pub granted: Vec<HeldRange>,
+    /// The ranges of the newest grant by this run of the agent, or `None` before the first.
+    pub granted: Option<Vec<HeldRange>>,
     /// The latest time until which it may hold them.
     pub held_until: Millis,
     /// Ranges that it has released, each with the handover text for the next holder.
@@ -253,7 +253,7 @@
             is_measured: false,
             leaving_since: None,
             disowned: false,
-            granted: Vec::new(),
+            granted: None,
             held_until: now.plus(self.longest_grant_ms),
             released: Vec::new(),
             sent,
@@ -280,7 +280,7 @@
         let ranges = ranges.filter(|_| !state.sent.runs_elsewhere(&owner.incarnation));
         let reply = ranges.and_then(|table| self.grant(now, table, &owner, authority));
         if let Some(reply) = &reply {
-            state.granted = reply.ranges.iter().map(to_held_range).collect();
+            state.granted = Some(reply.ranges.iter().map(to_held_range).collect());
             // A range that is granted again will be released again, with another handover text.
             let is_granted_again = |released: &ReleasedRange| {
                 let mut ranges = reply.ranges.iter();
@@ -512,13 +512,15 @@
             && self.announced.phase == BackendPhase::Serving
     }
 
-    /// Whether it is considered to hold a key: by the newest grant until that expires or, if the grant has no
-    /// ranges, by the ranges that it announced as held.
+    /// Whether it is considered to hold a key: by the newest grant until that expires or, if this run of the
+    /// agent has granted nothing yet, by the ranges that it announced as held.
     #[must_use]
     pub fn holds(&self, now: Millis, key: u16) -> bool {
         let contains = |range: &HeldRange| range.first <= key && key <= range.last;
-        let is_granted = self.granted.iter().any(contains) && now < self.held_until;
-        is_granted || (self.granted.is_empty() && self.announced.held.iter().any(contains))
+        match &self.granted {
+            Some(granted) => now < self.held_until && granted.iter().any(contains),
+            None => self.announced.held.iter().any(contains),
+        }
     }
 
     /// Whether its process has ended. One that exits refuses connections while it finishes its requests: after
@@ -537,7 +539,8 @@
             return true;
         }
         let overlaps = |held: &HeldRange| held.first <= range.last && range.first <= held.last;
-        !self.granted.iter().any(overlaps) && !self.announced.held.iter().any(overlaps)
+        let mut granted = self.granted.iter().flatten();
+        !granted.any(overlaps) && !self.announced.held.iter().any(overlaps)
     }
 
     /// Whether the newest known announcement supersedes `announced`.
--- a/crates/edge/tests/test_backend.rs
+++ b/crates/edge/tests/test_backend.rs
@@ -328,6 +328,27 @@
     expect_that!(is_usable(), eq(true));
 }
 
+/// Guards against requests that the backend server can only reject: it lists withdrawn keys as held for as long as it
+/// finishes requests for them.
+#[gtest]
+fn holds_withdrawn_keys_are_not_held() {
+    let backend = holding_backend();
+    let table = RangeTable::new(&[(owner(1), 1)]).expect("one owner");
+    let moving = table.with_move(&owner(1), 0, u16::MAX, &owner(2));
+    let announced = Announcement {
+        held: vec![HeldRange {
+            first: 0,
+            last: u16::MAX,
+            fence: 1,
+        }],
+        ..announcement(1, 2)
+    };
+    backend.announce(Millis(100), address(), announced, Some(&moving), UNLIMITED);
+    let holds = backend.read(|state| state.is_some_and(|state| state.holds(Millis(200), 3)));
+    expect_that!(holds, eq(false));
+    expect_that!(is_free(&backend, 200), eq(false), "it finishes requests");
+}
+
 #[gtest]
 fn announce_range_granted_again_drops_older_release() {
     let backend = unannounced_backend();
