edge: apply an announcement before its answer waits for moves

Keys of a leaving backend server whose agent was restarted had no service for one announcement interval more than needed: they were granted to it again, and moved only with its next announcement.

Change: the announcement is applied first, and the grant is computed after the wait; mark_leaving is not needed any more.

answer_leaving_after_agent_restart_moves_keys_before_reply fails before (the backend server is unknown while the answer waits, and the moves do not end the wait), passes after.

--- a/crates/edge/src/announcements.rs
+++ b/crates/edge/src/announcements.rs
@@ -14,7 +14,9 @@
 use jy_kernel::clock;
 use jy_platform::announce;
 use jy_types::endpoint::Announcement;
+use jy_types::endpoint::GrantReply;
 use jy_types::name::Name;
+use jy_types::time::Millis;
 use tokio::time::timeout;
 
 use crate::backend::AnnounceOutcome;
@@ -63,15 +65,29 @@
                 return refusal::rejected(StatusCode::BAD_REQUEST, &error.to_string());
             }
         };
-        self.wait_for_moves(&announced).await;
-        let snapshot = Rc::clone(&self.snapshot.borrow());
-        let ranges = snapshot.ranges.get(&announced.service);
-        let table = ranges.map(|ranges| &*ranges.table);
-        let authority = self.member.authority();
         let address = self.address;
-        let outcome = self
-            .backend
-            .announce(clock::now(), address, announced, table, authority);
+        let snapshot = Rc::clone(&self.snapshot.borrow());
+        let outcome = if self.keeps_keys_while_leaving(&announced, &snapshot) {
+            let outcome = self.backend.announce(
+                clock::now(),
+                address,
+                announced.clone(),
+                None,
+                Millis::default(),
+            );
+            match outcome {
+                AnnounceOutcome::Accepted(_) => {
+                    AnnounceOutcome::Accepted(self.grant_after_moves(&announced).await)
+                }
+                outcome => outcome,
+            }
+        } else {
+            let ranges = snapshot.ranges.get(&announced.service);
+            let table = ranges.map(|ranges| &*ranges.table);
+            let authority = self.member.authority();
+            self.backend
+                .announce(clock::now(), address, announced, table, authority)
+        };
         self.start_measurement();
         match outcome {
             AnnounceOutcome::Accepted(reply) => match announce::encode_reply(reply.as_ref()) {
@@ -118,30 +134,42 @@
         });
     }
 
+    /// Whether a leaving backend server has keys that are not marked for their next owners.
+    fn keeps_keys_while_leaving(&self, announced: &Announcement, snapshot: &FleetSnapshot) -> bool {
+        let ranges = snapshot.ranges.get(&announced.service);
+        ranges.is_some_and(|ranges| {
+            self.backend
+                .keeps_keys_while_leaving(announced, &ranges.table)
+        })
+    }
+
     /// Waits until the keys of a leaving backend server are marked for their next owners, for at most
-    /// [`MAX_LEAVING_REPLY_MS`].
-    async fn wait_for_moves(&self, announced: &Announcement) {
-        let keeps_keys = |snapshot: &FleetSnapshot| {
-            let ranges = snapshot.ranges.get(&announced.service);
-            ranges.is_some_and(|ranges| {
-                self.backend
-                    .keeps_keys_while_leaving(announced, &ranges.table)
-            })
-        };
+    /// [`MAX_LEAVING_REPLY_MS`], and grants the others. Its announcement has been applied, so that the moves
+    /// can start.
+    async fn grant_after_moves(&self, announced: &Announcement) -> Option<GrantReply> {
         let mut updates = self.snapshot.subscribe();
-        if !keeps_keys(&updates.borrow()) {
-            return;
-        }
-        self.backend.mark_leaving(clock::now(), announced);
-        let moved = updates.wait_for(|snapshot| !keeps_keys(snapshot));
+        let moved =
+            updates.wait_for(|snapshot| !self.keeps_keys_while_leaving(announced, snapshot));
+        let incarnation = &announced.incarnation;
         if timeout(Duration::from_millis(MAX_LEAVING_REPLY_MS), moved)
             .await
             .is_err()
         {
             log::info!(
                 "belief backend={} leaves with its keys: no move within {MAX_LEAVING_REPLY_MS} ms",
-                announced.incarnation.id
+                incarnation.id
             );
         }
+        let snapshot = Rc::clone(&self.snapshot.borrow());
+        let ranges = snapshot.ranges.get(&announced.service)?;
+        let authority = self.member.authority();
+        let sequence = announced.sequence;
+        self.backend.grant_later(
+            clock::now(),
+            incarnation,
+            sequence,
+            &ranges.table,
+            authority,
+        )
     }
 }
--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -192,7 +192,8 @@
         self.state.borrow().is_none() && now.since(self.agent_started) < first_due_ms
     }
 
-    /// Applies an announcement and grants the owned keys of `ranges`, for no longer than until `authority`.
+    /// Applies an announcement and grants the owned keys of `ranges`, if given, for no longer than until
+    /// `authority`.
     pub fn announce(
         &self,
         now: Millis,
@@ -272,29 +273,61 @@
         state.last_heard = now;
         state.refuses = false;
         state.disowned = false;
+        let reply = ranges.and_then(|table| self.renew(now, state, table, authority));
+        drop(current);
+        self.changes.send_modify(|count| *count += 1);
+        AnnounceOutcome::Accepted(reply)
+    }
+
+    /// Grants the owned keys of `ranges`, for no longer than until `authority`, in reply to an announcement that
+    /// was applied earlier. Returns `None` if it is no longer the newest one, too.
+    pub fn grant_later(
+        &self,
+        now: Millis,
+        incarnation: &BackendIncarnation,
+        sequence: u64,
+        ranges: &RangeTable,
+        authority: Millis,
+    ) -> Option<GrantReply> {
+        let mut current = self.state.borrow_mut();
+        let state = current.as_mut().filter(|state| {
+            state.announced.incarnation == *incarnation && state.announced.sequence == sequence
+        })?;
+        let reply = self.renew(now, state, ranges, authority);
+        drop(current);
+        self.changes.send_modify(|count| *count += 1);
+        reply
+    }
+
+    /// Grants the owned keys of `table` and records the grant. Returns `None` if nothing can be granted now.
+    fn renew(
+        &self,
+        now: Millis,
+        state: &mut BackendState,
+        table: &RangeTable,
+        authority: Millis,
+    ) -> Option<GrantReply> {
         let owner = RangeOwner {
             node: Name::clone(&self.node),
             incarnation: state.announced.incarnation.clone(),
         };
         // An earlier incarnation may hold the same keys until its last requests have ended.
-        let ranges = ranges.filter(|_| !state.sent.runs_elsewhere(&owner.incarnation));
-        let reply = ranges.and_then(|table| self.grant(now, table, &owner, authority));
-        if let Some(reply) = &reply {
-            state.granted = Some(reply.ranges.iter().map(to_held_range).collect());
-            // A range that is granted again will be released again, with another handover text.
-            let is_granted_again = |released: &ReleasedRange| {
-                let mut ranges = reply.ranges.iter();
-                ranges.any(|range| range.first <= released.last && released.first <= range.last)
-            };
-            state
-                .released
-                .retain(|released| !is_granted_again(released));
-            let hold = (reply.grant_ms as f64 * MAX_CLOCK_RATIO).ceil() as u64;
-            state.held_until = now.plus(hold);
+        if state.sent.runs_elsewhere(&owner.incarnation) {
+            return None;
         }
-        drop(current);
-        self.changes.send_modify(|count| *count += 1);
-        AnnounceOutcome::Accepted(reply)
+        let reply = self.grant(now, table, &owner, authority)?;
+        state.granted = Some(reply.ranges.iter().map(to_held_range).collect());
+        // A range that is granted again will be released again, with another handover text.
+        let is_granted_again = |released: &ReleasedRange| {
+            let mut ranges = reply.ranges.iter();
+            ranges.any(|range| range.first <= released.last && released.first <= range.last)
+        };
+        state
+            .released
+            .retain(|released| !is_granted_again(released));
+        let hold = (reply.grant_ms as f64 * MAX_CLOCK_RATIO).ceil() as u64;
+        state.held_until = now.plus(hold);
+        Some(reply)
     }
 
     /// Grants the ranges of an owner that are not moving to another. Returns `None` if too little authority
@@ -335,20 +368,6 @@
             && table.owned(&owner).any(|range| range.next_owner.is_none())
     }
 
-    /// Records that the backend server leaves, before its announcement is answered.
-    pub fn mark_leaving(&self, now: Millis, announced: &Announcement) {
-        let mut current = self.state.borrow_mut();
-        let Some(state) = current.as_mut() else {
-            return;
-        };
-        if state.announced.incarnation != announced.incarnation || state.leaving_since.is_some() {
-            return;
-        }
-        state.leaving_since = Some(now);
-        drop(current);
-        self.changes.send_modify(|count| *count += 1);
-    }
-
     /// Returns the incarnation whose service time is to be measured, once for each.
     #[must_use]
     pub fn take_measurement(&self) -> Option<BackendIncarnation> {
--- /dev/null
+++ b/crates/edge/tests/test_announcements.rs
@@ -0,0 +1,141 @@
+//! Tests how the agent answers the announcements that it receives.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::Method;
+use googletest::prelude::*;
+use jy_edge::announcements::AnnouncementListener;
+use jy_edge::backend::LocalBackend;
+use jy_edge::feed::SnapshotSender;
+use jy_edge::gate::LocalGate;
+use jy_edge::member::LocalMember;
+use jy_edge::metrics::EdgeMetrics;
+use jy_edge::snapshot::FleetSnapshot;
+use jy_edge::snapshot::VersionedRanges;
+use jy_edge::support::LocalSupport;
+use jy_http::message::HttpRequest;
+use jy_kernel::clock;
+use jy_platform::store::StoreClient;
+use jy_ranges::table::RangeOwner;
+use jy_ranges::table::RangeTable;
+use jy_types::endpoint::BackendIncarnation;
+use jy_types::endpoint::InstanceRecord;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// Address of the backend server; also stands for the store, which is not reached in these tests.
+const ADDRESS: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 9);
+/// Least time for which the answer to a leaving backend server that keeps its keys is delayed, in milliseconds.
+const MIN_REPLY_DELAY_MS: u64 = 300;
+
+/// Returns an incarnation of the backend server on instance `node` as an owner.
+fn owner(node: &str) -> RangeOwner {
+    RangeOwner {
+        node: node.into(),
+        incarnation: BackendIncarnation {
+            id: "i-1".into(),
+            started_at: 1,
+        },
+    }
+}
+
+/// Returns the table in which the owner on instance `n` has all keys.
+///
+/// # Panics
+///
+/// Panics if the table can't be created.
+fn table() -> RangeTable {
+    RangeTable::new(&[(owner("n"), 1)]).expect("one owner")
+}
+
+/// Returns a snapshot with a table of key ranges.
+fn snapshot(table: RangeTable) -> Rc<FleetSnapshot> {
+    let mut snapshot = FleetSnapshot::default();
+    let versioned = VersionedRanges {
+        table: Rc::new(table),
+        revision: 1,
+    };
+    snapshot.ranges.insert("s".into(), versioned);
+    Rc::new(snapshot)
+}
+
+/// Returns the parts of an agent that has just started.
+fn listener() -> AnnouncementListener {
+    let snapshot: Rc<SnapshotSender> = Rc::new(watch::Sender::new(snapshot(table())));
+    let backend = Rc::new(LocalBackend::new("n".into(), clock::now(), 10_000, 1_000));
+    let gate = LocalGate::new(
+        "z".into(),
+        ADDRESS,
+        Rc::clone(&backend),
+        Rc::clone(&snapshot),
+        Rc::new(EdgeMetrics::new()),
+        1_250.0,
+    );
+    let support = LocalSupport::new("n".into(), "z".into(), "run".into(), Rc::clone(&snapshot));
+    let record = || InstanceRecord {
+        node: "n".into(),
+        run: "run".into(),
+        gate: ADDRESS,
+        zone: "z".into(),
+        leaving: false,
+        backend: None,
+    };
+    let member = LocalMember::new(
+        StoreClient::new(ADDRESS),
+        Rc::clone(&snapshot),
+        "n".into(),
+        Rc::new(record),
+        Rc::new(support),
+    );
+    AnnouncementListener {
+        address: ADDRESS,
+        backend,
+        gate: Rc::new(gate),
+        member: Rc::new(member),
+        snapshot,
+    }
+}
+
+/// Returns the announcement of a backend server that leaves and holds all keys.
+fn leaving_announcement() -> HttpRequest {
+    let body = serde_json::json!({
+        "address": ADDRESS.to_string(),
+        "born": 1,
+        "info": { "service": "s", "version": "v1", "zone": "z", "slots": 4 },
+        "status": { "state": "draining", "sequence": 7, "cold_remaining_ms": 0 },
+        "holds": [[0, u16::MAX, 1]],
+        "freed": [],
+    });
+    HttpRequest::new(Method::PUT, "/instances/i-1").with_body(body.to_string().into())
+}
+
+/// Guards against keys without service for an announcement interval: after its restart the agent did not know the
+/// backend server before it had answered, so that the moves of its keys could not start, and granted all keys again.
+#[gtest]
+fn answer_leaving_after_agent_restart_moves_keys_before_reply() {
+    actix_rt::System::new().block_on(async {
+        let listener = Rc::new(listener());
+        let answering = Rc::clone(&listener);
+        let answer =
+            actix_rt::spawn(async move { answering.answer(&leaving_announcement()).await });
+        sleep(Duration::from_millis(MIN_REPLY_DELAY_MS / 3)).await;
+        expect_that!(answer.is_finished(), eq(false), "no move is marked");
+        expect_that!(
+            listener.backend.owner(),
+            some(eq(&owner("n"))),
+            "the moves of the keys can be written"
+        );
+        let is_leaving = |state: Option<&jy_edge::backend::BackendState>| {
+            state.is_some_and(|state| state.leaving_since.is_some())
+        };
+        expect_that!(listener.backend.read(is_leaving), eq(true));
+        let moving = table().with_move(&owner("n"), 0, u16::MAX, &owner("m"));
+        listener.snapshot.send_replace(snapshot(moving));
+        let limit = Duration::from_millis(MIN_REPLY_DELAY_MS / 3);
+        let is_answered = timeout(limit, answer).await.is_ok();
+        expect_that!(is_answered, eq(true), "the moves are marked");
+    });
+}
