policy: compute the weight of an owner without overflow

An odd entry with an impossible number of slots ended agents with overflow checks, and gave the others an arbitrary division of the keys. Cause: slots and percents were multiplied in 32 bits. Change: 64 bits, limited to 32.

weight_impossible_slots_is_bounded panics before ("attempt to multiply with overflow" at capacity.rs:29), passes after.

--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -26,5 +26,6 @@
 pub fn weight(slots: u32, service_time_percent: Option<u32>) -> u32 {
     let percent = service_time_percent.unwrap_or(USUAL_PERCENT);
     let percent = percent.clamp(MIN_PERCENT, MAX_PERCENT);
-    (slots * SLOT_WEIGHT * USUAL_PERCENT / percent).max(1)
+    let weight = u64::from(slots) * u64::from(SLOT_WEIGHT * USUAL_PERCENT) / u64::from(percent);
+    u32::try_from(weight).unwrap_or(u32::MAX).max(1)
 }
--- a/crates/policy/tests/test_capacity.rs
+++ b/crates/policy/tests/test_capacity.rs
@@ -36,3 +36,10 @@
     expect_that!(weight(SLOTS, Some(100_000)), gt(0));
     expect_that!(weight(SLOTS, Some(0)), le(4 * weight(SLOTS, None)));
 }
+
+/// Guards against an agent that ends, or computes shares of nothing, by an odd number of slots in one record.
+#[gtest]
+fn weight_impossible_slots_is_bounded() {
+    expect_that!(weight(u32::MAX, Some(70)), eq(u32::MAX));
+    expect_that!(weight(0, Some(70)), eq(1));
+}
