--- a/crates/edge/tests/test_snapshot.rs
+++ b/crates/edge/tests/test_snapshot.rs
@@ -53,6 +53,39 @@
     );
 }
 
+/// Guards against agents that end, or stop following the others, by one odd entry among the agents' records.
+#[gtest]
+fn with_changes_odd_entries_leave_the_others() {
+    let valid = record(1, true);
+    let text = valid.value.clone().expect("the record is present");
+    let deep = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let odd_values = [
+        deep.clone(),
+        text.replace("null", &deep),
+        text.replace(":7000", ":70000"),
+        text.replace("null", "{\"life\":{\"id\":\"i\",\"born\":1e400}}"),
+        text.replace(
+            "null",
+            "{\"life\":{\"id\":\"i\",\"born\":99999999999999999999}}",
+        ),
+        String::new(),
+    ];
+    let mut records: Vec<Record> = odd_values
+        .iter()
+        .zip(2..)
+        .map(|(value, revision)| Record {
+            key: instance_key(&format!("odd-{revision}")),
+            revision,
+            value: Some(value.as_str().into()),
+        })
+        .collect();
+    records.insert(3, valid);
+    let snapshot = FleetSnapshot::default().with_changes(Millis(10), FeedPart::Fleet, &records, 20);
+    let nodes: Vec<&str> = snapshot.instances.keys().map(|node| &**node).collect();
+    expect_that!(nodes, elements_are![eq(&"n")]);
+    expect_that!(snapshot.revision, eq(20), "the agent follows the store");
+}
+
 #[gtest]
 fn absent_since_restarts_after_return_and_lapse_in_one_batch() {
     let snapshot = apply_changes(FleetSnapshot::default(), 10, &[record(1, true)]);
