http: carry each request id at most once on a connection

Callers could be told that a request had not run while a backend server ran it: a faulty one repeats an earlier refusal on a kept connection, where the response to the same request, sent again, is due.

Cause: a response counts by the id of its request, and both sends have one id. A gateway asks an owner of keys again after it was rejected as meant for another. Change: the pool takes another connection for an id that a connection has carried; a connection is closed after 256 ids.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,6 +1,10 @@
 //! A client connection, which carries one request at a time and reports whether a failed one may have run.
 
 use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -59,6 +63,9 @@
 /// for the header's rounding to seconds, and 0.5 s for the request to reach the server.
 const REUSE_MARGIN_MS: u64 = 1_500;
 
+/// Number of requests with an id after which a connection is closed, so that the ids that it has carried stay few.
+const MAX_IDS_PER_CONNECTION: usize = 256;
+
 /// Interval between the writes of a request that is sent at a limited rate, in milliseconds.
 const PACED_WRITE_MS: u64 = 10;
 
@@ -118,6 +125,8 @@
     buffer: BytesMut,
     last_used: Millis,
     reuse_deadline: Millis,
+    /// Hashes of the ids of the requests that it has carried.
+    carried_ids: BTreeSet<u64>,
 }
 
 /// A response, and its connection if that can carry another request.
@@ -158,6 +167,7 @@
             buffer: BytesMut::new(),
             last_used: now,
             reuse_deadline: now.plus(DEFAULT_REUSE_MS),
+            carried_ids: BTreeSet::new(),
         })
     }
 
@@ -166,7 +176,15 @@
     pub fn is_reusable(&self, now: Millis, max_idle_ms: u64) -> bool {
         let is_within_reuse_time =
             now < self.reuse_deadline && now.since(self.last_used) <= max_idle_ms;
-        is_within_reuse_time && self.is_idle()
+        let has_room = self.carried_ids.len() < MAX_IDS_PER_CONNECTION;
+        is_within_reuse_time && has_room && self.is_idle()
+    }
+
+    /// Whether the connection has carried a request with an id. The response to that request, sent once more, could
+    /// not be told from the response to another one with the same id.
+    #[must_use]
+    pub fn has_carried(&self, id: &str) -> bool {
+        self.carried_ids.contains(&id_hash(id))
     }
 
     /// Whether the reuse deadline has passed.
@@ -197,6 +215,8 @@
     ) -> Result<ExchangeOutcome> {
         let to = self.to;
         let bytes = self.encode(request)?;
+        self.carried_ids
+            .extend(check.map(|check| id_hash(check.id)));
         let written = Cell::new(0_usize);
         let codec = std::mem::replace(&mut self.codec, ClientCodec::new(codec_config()));
         let outcome = {
@@ -286,6 +306,13 @@
     }
 }
 
+/// Returns the hash of a request's id.
+fn id_hash(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Encodes one part of a request.
 ///
 /// # Errors
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -41,7 +41,8 @@
         Self::default()
     }
 
-    /// Sends a request on an idle connection, or on a new one if none can be reused.
+    /// Sends a request on an idle connection, or on a new one if none can be reused. A connection carries each id
+    /// at most once.
     ///
     /// # Errors
     ///
@@ -53,7 +54,7 @@
         check: Option<ResponseCheck<'_>>,
         options: SendOptions,
     ) -> Result<HttpResponse> {
-        let connection = match self.take_idle(to, options.max_idle_ms) {
+        let connection = match self.take_idle(to, options.max_idle_ms, check) {
             Some(connection) => connection,
             None => HttpConnection::connect(to, options.connect_timeout_ms).await?,
         };
@@ -80,17 +81,31 @@
     }
 
     /// Takes the most recently used connection that can be reused, and closes those that can't.
-    fn take_idle(&self, to: SocketAddr, max_idle_ms: u64) -> Option<HttpConnection> {
+    fn take_idle(
+        &self,
+        to: SocketAddr,
+        max_idle_ms: u64,
+        check: Option<ResponseCheck<'_>>,
+    ) -> Option<HttpConnection> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&to)?;
         connections.retain(|connection| !connection.is_expired(now));
-        while let Some(connection) = connections.pop() {
+        let mut index = connections.len();
+        while index > 0 {
+            index -= 1;
+            let connection = &connections[index];
+            if check.is_some_and(|check| connection.has_carried(check.id)) {
+                continue;
+            }
+            let connection = connections.remove(index);
             if connection.is_reusable(now, max_idle_ms) {
                 return Some(connection);
             }
         }
-        idle.remove(&to);
+        if connections.is_empty() {
+            idle.remove(&to);
+        }
         None
     }
 }
