edge, lease: let an owner grant keys again after a take-over

Cause: witnesses refuse a denied epoch for good, and the take-over deleted the record that the owner's next epoch follows. Change: a take-over records an empty set with the next epoch; a refusal names the denied epoch, and the owner goes on after it. Recorded sets are compared as a whole, since the empty set may have the epoch of a proposed one. Both are safe: a later epoch is recorded by a write that changes the revision on which an earlier denial rests.

--- a/crates/edge/src/lost_owners.rs
+++ b/crates/edge/src/lost_owners.rs
@@ -25,9 +25,8 @@
 pub struct LostOwner {
     /// Name of the instance.
     pub node: Name,
-    /// Revision of the record of the witnesses that have denied it, or `None` if its authority has expired
-    /// without a denial.
-    pub witnesses: Option<u64>,
+    /// The witnesses that have denied it, or `None` if its authority has expired without a denial.
+    pub witnesses: Option<VersionedWitnesses>,
 }
 
 /// The results of asking the witnesses of absent owners for denials.
@@ -117,7 +116,7 @@
             let has_expired = now.since(since) >= expiry_ms;
             (is_denied || has_expired).then(|| LostOwner {
                 node: Name::clone(node),
-                witnesses: revision.filter(|_| is_denied),
+                witnesses: versioned.filter(|_| is_denied).cloned(),
             })
         };
         let lost = owners(table).into_iter().filter_map(lost);
--- a/crates/edge/src/range_manager.rs
+++ b/crates/edge/src/range_manager.rs
@@ -339,40 +339,22 @@
     async fn write(&self, service: &Name, change: TableChange) -> Result<()> {
         let expected_revision = change.expected_revision;
         let key = ranges_key(service);
-        let text = match change.table.to_text() {
-            Ok(text) => text,
+        let (text, commit) = match encode_change(&key, &change) {
+            Ok(encoded) => encoded,
             Err(error) => {
-                log::error!("failed to encode key ranges of {service}: {error}");
+                log::error!("failed to encode a change of the key ranges of {service}: {error}");
                 return Ok(());
             }
         };
-        let absent = change
-            .lost_owners
-            .iter()
-            .map(|lost| (instance_key(&lost.node), 0));
-        let denied: Vec<(Name, u64)> = change
-            .lost_owners
-            .iter()
-            .filter_map(|lost| Some((witness_key(&lost.node), lost.witnesses?)))
-            .collect();
-        let commit = StoreCommit {
-            expected: [(Name::clone(&key), expected_revision)]
-                .into_iter()
-                .chain(absent)
-                .chain(denied.iter().cloned())
-                .collect(),
-            writes: vec![StoreWrite {
-                key: Name::clone(&key),
-                value: Name::clone(&text),
-                lease: 0,
-            }],
-            deletes: denied.into_iter().map(|(key, _)| key).collect(),
-        };
         let outcome = self.parts.store.commit(&commit).await?;
         log::info!(
             "decision key ranges service={service} why={:?} lost={:?} expected={expected_revision} end={outcome:?}",
             change.reason,
-            change.lost_owners
+            change
+                .lost_owners
+                .iter()
+                .map(|lost| (&lost.node, lost.witnesses.as_ref().map(|set| set.revision)))
+                .collect::<Vec<_>>()
         );
         match outcome {
             CommitOutcome::Applied { revision } => self.parts.feed.apply_written(Record {
@@ -388,3 +370,40 @@
         Ok(())
     }
 }
+
+/// Encodes a change of the table under `key`: returns the table's text, and the commit with the preconditions.
+///
+/// The lost owners whose witnesses have denied them are left without witnesses, under a later epoch.
+///
+/// # Errors
+///
+/// Returns the encoder's error if the table or a set of witnesses can't be encoded.
+fn encode_change(key: &Name, change: &TableChange) -> anyhow::Result<(Name, StoreCommit)> {
+    let text = change.table.to_text()?;
+    let mut commit = StoreCommit {
+        expected: vec![(Name::clone(key), change.expected_revision)],
+        writes: vec![StoreWrite {
+            key: Name::clone(key),
+            value: Name::clone(&text),
+            lease: 0,
+        }],
+        deletes: Vec::new(),
+    };
+    for lost in &change.lost_owners {
+        commit.expected.push((instance_key(&lost.node), 0));
+        let Some(versioned) = &lost.witnesses else {
+            continue;
+        };
+        let key = witness_key(&lost.node);
+        commit
+            .expected
+            .push((Name::clone(&key), versioned.revision));
+        let value = serde_json::to_string(&versioned.set.after_take_over())?;
+        commit.writes.push(StoreWrite {
+            key,
+            value: value.into(),
+            lease: 0,
+        });
+    }
+    Ok((text, commit))
+}
--- a/crates/edge/src/support.rs
+++ b/crates/edge/src/support.rs
@@ -73,6 +73,9 @@
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 struct SupportResponse {
     is_granted: bool,
+    /// Newest epoch under which the witness has denied the owner, or zero; agents of earlier versions don't say.
+    #[serde(default)]
+    denied_epoch: u64,
 }
 
 /// The support that this agent has as an owner, and the promises that it has given as a witness.
@@ -169,10 +172,17 @@
         let response: Option<SupportResponse> = self
             .send_request(SUPPORT_PATH, &node, &support_request)
             .await;
-        if response.is_some_and(|response| response.is_granted) {
-            self.state
-                .borrow_mut()
-                .record_support(&node, epoch, sent_at);
+        let Some(response) = response else {
+            return;
+        };
+        let mut state = self.state.borrow_mut();
+        if response.is_granted {
+            state.record_support(&node, epoch, sent_at);
+        } else if state.record_refusal(response.denied_epoch) {
+            log::info!(
+                "belief witness={node} refuses support epoch={epoch} denied_epoch={}",
+                response.denied_epoch
+            );
         }
     }
 
@@ -301,7 +311,10 @@
         let mut promises = self.promises.borrow_mut();
         let SupportRequest { owner, epoch, run } = support_request;
         let is_granted = promises.support(clock::now(), owner, *epoch, run);
-        SupportResponse { is_granted }
+        SupportResponse {
+            is_granted,
+            denied_epoch: promises.denied_epoch(owner),
+        }
     }
 
     /// Denies an owner, unless a promise of support to it may still be in force.
@@ -316,23 +329,24 @@
     /// Confirms the newest proposed set if the store's records show that it was written, after a write whose
     /// outcome was unknown.
     pub fn resolve_pending(&self) {
-        let recorded = self.recorded_epoch();
+        let recorded = self.recorded_set();
         let mut state = self.state.borrow_mut();
-        let newest = state.sets().last().map_or(0, |set| set.epoch);
-        if state.has_unconfirmed_set() && recorded == newest {
-            state.confirm(newest);
+        let is_recorded = state.sets().last() == Some(&*recorded);
+        if state.has_unconfirmed_set() && is_recorded {
+            state.confirm(recorded.epoch);
         }
     }
 
     /// Returns the set of witnesses that should replace the recorded one, or `None` if that one remains.
     #[must_use]
     pub fn replacement_set(&self, now: Millis) -> Option<WitnessSet> {
-        let recorded = self.recorded_epoch();
-        let (is_resolved, newest, current) = {
+        let recorded = self.recorded_set();
+        let (is_resolved, is_denied, epoch, current) = {
             let state = self.state.borrow();
             let newest = state.sets().last().cloned().unwrap_or_default();
-            let is_resolved = !state.has_unconfirmed_set() && newest.epoch == recorded;
-            (is_resolved, newest.epoch.max(recorded), newest)
+            let is_resolved = !state.has_unconfirmed_set() && newest == *recorded;
+            let epoch = state.next_epoch(recorded.epoch);
+            (is_resolved, state.is_denied(), epoch, newest)
         };
         let chosen = self.choose(now, &current);
         let is_stale = chosen != current.witnesses;
@@ -345,12 +359,13 @@
             let is_due = !current.is_deniable()
                 || !self.has_quorum(&current)
                 || now.since(since) >= REPLACE_DELAY_MS;
-            if !is_stale || !is_due {
+            let is_replaced = is_denied || (is_stale && is_due);
+            if !is_replaced {
                 return None;
             }
         }
         Some(WitnessSet {
-            epoch: newest + 1,
+            epoch,
             witnesses: chosen,
         })
     }
@@ -390,11 +405,11 @@
         self.state.borrow_mut().withdraw(epoch);
     }
 
-    /// Returns the epoch of the recorded set, or zero if there is none.
-    fn recorded_epoch(&self) -> u64 {
+    /// Returns the recorded set, or the first empty one if there is none.
+    fn recorded_set(&self) -> Rc<WitnessSet> {
         let snapshot = self.snapshot.borrow();
         let versioned = snapshot.witnesses.get(&self.node);
-        versioned.map_or(0, |versioned| versioned.set.epoch)
+        versioned.map_or_else(Rc::default, |versioned| Rc::clone(&versioned.set))
     }
 
     /// Chooses witnesses: those of the current set that are still eligible, then others. Returns an empty
--- a/crates/lease/src/witness.rs
+++ b/crates/lease/src/witness.rs
@@ -10,6 +10,10 @@
 //! Each set of witnesses has an epoch and is recorded in the store. A take-over is conditional on the
 //! revision of that record. An owner that does not know which of several sets is recorded needs support
 //! under each of them.
+//!
+//! A denied epoch is never supported again, so epochs of an owner must not be used twice: a take-over leaves an
+//! empty set with a later epoch, and an owner whose epoch was denied, for example since the record was lost,
+//! learns the denied epoch from the refusal and goes on after it.
 
 use std::collections::BTreeMap;
 
@@ -57,6 +61,16 @@
         !self.witnesses.is_empty()
     }
 
+    /// Returns the set that a take-over records in place of this one: the owner has no witnesses any more, and its
+    /// next set has a later epoch than any that was denied.
+    #[must_use]
+    pub const fn after_take_over(&self) -> Self {
+        Self {
+            epoch: self.epoch.saturating_add(1),
+            witnesses: Vec::new(),
+        }
+    }
+
     /// Whether the owner can still get the support that it needs, if only the witnesses for which `is_live` holds
     /// can promise any. Runs of witnesses that have ended promise nothing more.
     #[must_use]
@@ -121,6 +135,15 @@
         true
     }
 
+    /// Returns the newest epoch under which an owner was denied support, or zero.
+    #[must_use]
+    pub fn denied_epoch(&self, owner: &str) -> u64 {
+        let entry = self.entries.get(owner);
+        entry
+            .and_then(|entry| entry.denied_epoch)
+            .unwrap_or_default()
+    }
+
     /// Denies further support under an epoch whose record names `run` as the run of this witness, unless a
     /// promise of this run or of an earlier one may still be in force.
     pub fn deny(&mut self, now: Millis, owner: &Name, epoch: u64, run: &str) -> Denial {
@@ -170,6 +193,8 @@
 pub struct OwnerSupport {
     /// Sets that may be recorded in the store, the newest last.
     candidates: Vec<CandidateSet>,
+    /// Newest epoch that a witness is known to have denied, or zero.
+    denied_epoch: u64,
 }
 
 impl OwnerSupport {
@@ -178,9 +203,34 @@
     pub fn new() -> Self {
         Self {
             candidates: vec![CandidateSet::default()],
+            denied_epoch: 0,
         }
     }
 
+    /// Records that a witness refused support because it has denied an epoch. Returns whether that is news.
+    pub fn record_refusal(&mut self, denied_epoch: u64) -> bool {
+        let is_news = denied_epoch > self.denied_epoch;
+        self.denied_epoch = self.denied_epoch.max(denied_epoch);
+        is_news
+    }
+
+    /// Whether a witness has denied the newest set, so that the owner needs one with a later epoch.
+    #[must_use]
+    pub fn is_denied(&self) -> bool {
+        let newest = self.sets().last();
+        newest.is_some_and(|set| set.is_deniable() && set.epoch <= self.denied_epoch)
+    }
+
+    /// Returns the epoch of the next set, later than any that was proposed, recorded or denied.
+    #[must_use]
+    pub fn next_epoch(&self, recorded: u64) -> u64 {
+        let newest = self.sets().last().map_or(0, |set| set.epoch);
+        newest
+            .max(recorded)
+            .max(self.denied_epoch)
+            .saturating_add(1)
+    }
+
     /// Sets that may be recorded in the store, the newest last.
     pub fn sets(&self) -> impl Iterator<Item = &WitnessSet> {
         self.candidates.iter().map(|candidate| &candidate.set)
