http, edge: bound the memory that bodies of requests take together

Cause: nothing bounded the sum over all connections; buffers grew by doubling, and each send copied the body whole. Change: a budget that all listeners for requests share, from the new setting memory_mb. A body is reserved when its head announces it, or as its chunks come; what does not fit is refused at once as not run, with Retry-After. Large bodies are sent from the buffer in which they were received. After a refusal the connection stays open for reading, so that a caller that still sends its body gets the response.

--- a/crates/config/src/edge.rs
+++ b/crates/config/src/edge.rs
@@ -21,6 +21,11 @@
 const MAX_LINK_MBPS: f64 = 1_000_000.0;
 /// Link rate where the settings state none, in megabits per second.
 const DEFAULT_LINK_MBPS: f64 = 1_000.0;
+/// Memory of the agent, in megabytes.
+const MIN_MEMORY_MB: f64 = 64.0;
+const MAX_MEMORY_MB: f64 = 1_000_000.0;
+/// Memory where the settings state none, in megabytes.
+const DEFAULT_MEMORY_MB: f64 = 160.0;
 const MAX_RETRY_SLACK: f64 = 1_000_000.0;
 /// Minimum number of announcements per grant of keys, so that the keys survive one lost announcement.
 const MIN_ANNOUNCEMENTS_PER_GRANT: u64 = 2;
@@ -76,6 +81,8 @@
     pub store: SocketAddr,
     /// Rate of the instance's network link, in megabits per second.
     pub link_mbps: f64,
+    /// Memory that the agent may use, in megabytes.
+    pub memory_mb: f64,
     /// Log level.
     pub log_level: Name,
     /// Bounds that the operators of the deployment guarantee to their users.
@@ -107,6 +114,11 @@
         log,
         reader::number(MIN_LINK_MBPS, MAX_LINK_MBPS),
     );
+    let memory_mb = object.optional(
+        "memory_mb",
+        log,
+        reader::number(MIN_MEMORY_MB, MAX_MEMORY_MB),
+    );
     let log_level = object.optional("log_level", log, read_level);
     let bounds = object.required("bounds", log, read_bounds);
     object.finish(log);
@@ -118,6 +130,7 @@
         listen: listen?,
         store: store?,
         link_mbps: link_mbps.unwrap_or(DEFAULT_LINK_MBPS),
+        memory_mb: memory_mb.unwrap_or(DEFAULT_MEMORY_MB),
         log_level: log_level.unwrap_or_else(|| "info".into()),
         bounds: bounds?,
     })
--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -10,6 +10,7 @@
 use anyhow::Result;
 use futures_util::future::LocalBoxFuture;
 use jy_config::edge::EdgeSettings;
+use jy_http::body_budget::BodyBudget;
 use jy_http::message::HttpRequest;
 use jy_http::message::HttpResponse;
 use jy_http::message::header_text;
@@ -18,6 +19,7 @@
 use jy_http::server::HttpListener;
 use jy_http::server::LimitsFn;
 use jy_http::server::ReadLimits;
+use jy_http::server::RefuseFn;
 use jy_kernel::clock;
 use jy_platform::headers;
 use jy_platform::store::StoreClient;
@@ -42,6 +44,8 @@
 use crate::feed::RelayedRecords;
 use crate::feed::SnapshotSender;
 use crate::forward;
+use crate::forward::GateReport;
+use crate::forward::NotRunCause;
 use crate::gate::LocalGate;
 use crate::gateway::CallerGateway;
 use crate::gateway::GatewayParts;
@@ -75,6 +79,16 @@
     idle_ms: 15_000,
 };
 
+/// Memory that the agent uses apart from the bodies of requests, in megabytes.
+const BASE_MEMORY_MB: f64 = 32.0;
+/// Share of the remaining memory for the bodies of requests. The rest is for responses and for what the kernel
+/// buffers.
+const BODY_MEMORY_SHARE: f64 = 0.75;
+const BYTES_PER_MEGABYTE: f64 = 1_000_000.0;
+/// Retry delay of requests whose bodies do not fit into memory, in milliseconds: about the time in which other
+/// bodies of many megabytes are sent on.
+const BODY_RETRY_MS: u64 = 500;
+
 /// Parts of a running agent.
 struct EdgeAgent {
     settings: EdgeSettings,
@@ -332,17 +346,28 @@
             let response = metrics_agent.answer_metrics();
             Box::pin(async move { response })
         });
-        let callers = bind("caller", listen.caller, callers, caller_limits).await?;
-        let gates = bind("gate", listen.gate, gates, Rc::clone(&peer_limits)).await?;
-        bind("ready", listen.ready, ready, Rc::clone(&peer_limits)).await?;
-        bind(
-            "announce",
-            listen.announce,
-            announce,
-            Rc::clone(&peer_limits),
-        )
-        .await?;
-        bind("metrics", listen.metrics, metrics, peer_limits).await?;
+        let body_budget = Rc::new(BodyBudget::new(body_memory_bytes(self.settings.memory_mb)));
+        let refuse_caller: RefuseFn = Rc::new(|| {
+            let now = clock::now();
+            let reason = "too many large bodies at once";
+            refusal::not_run(reason, BODY_RETRY_MS, now, Millis::MAX)
+        });
+        let gate = Rc::clone(&self.gate);
+        let refuse_peer: RefuseFn = Rc::new(move || {
+            let load = gate.load(clock::now());
+            let cause = NotRunCause::Overloaded;
+            forward::encode_report(GateReport::not_run(cause, BODY_RETRY_MS, Some(load)))
+        });
+        let callers = HttpListener::new(callers, caller_limits)
+            .with_body_budget(Rc::clone(&body_budget), refuse_caller);
+        let gates = HttpListener::new(gates, Rc::clone(&peer_limits))
+            .with_body_budget(body_budget, refuse_peer);
+        let plain = |handle| HttpListener::new(handle, Rc::clone(&peer_limits));
+        bind("caller", listen.caller, &callers).await?;
+        bind("gate", listen.gate, &gates).await?;
+        bind("ready", listen.ready, &plain(ready)).await?;
+        bind("announce", listen.announce, &plain(announce)).await?;
+        bind("metrics", listen.metrics, &plain(metrics)).await?;
         Ok(vec![callers, gates])
     }
 
@@ -492,20 +517,18 @@
     })
 }
 
+/// Returns the memory for the bodies of requests, in bytes, of an agent that may use `memory_mb` megabytes.
+fn body_memory_bytes(memory_mb: f64) -> usize {
+    ((memory_mb - BASE_MEMORY_MB) * BODY_MEMORY_SHARE * BYTES_PER_MEGABYTE) as usize
+}
+
 /// Binds one listener.
 ///
 /// # Errors
 ///
 /// Returns an error if the address can't be bound.
-async fn bind(
-    setting: &str,
-    address: SocketAddr,
-    handle: Handler,
-    limits: LimitsFn,
-) -> Result<HttpListener> {
-    let listener = HttpListener::new(handle, limits);
+async fn bind(setting: &str, address: SocketAddr, listener: &HttpListener) -> Result<()> {
     listener.serve(address).await.with_context(|| {
         format!("could not listen on {address} (listen.{setting}); is another process using it?")
-    })?;
-    Ok(listener)
+    })
 }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -35,6 +35,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::body_budget::SMALL_BODY_BYTES;
 use crate::message::HttpRequest;
 use crate::message::HttpResponse;
 use crate::message::codec_config;
@@ -214,7 +215,8 @@
         max_bytes_per_ms: Option<u64>,
     ) -> Result<ExchangeOutcome> {
         let to = self.to;
-        let bytes = self.encode(request)?;
+        let (head, body) = self.encode(request)?;
+        let total_bytes = head.len() + body.len();
         self.carried_ids
             .extend(check.map(|check| id_hash(check.id)));
         let written = Cell::new(0_usize);
@@ -226,13 +228,14 @@
             let response_future =
                 read_matching_response(&mut reader, buffer, codec, check, is_head);
             tokio::pin!(response_future);
-            let write_future = write_counted(&mut writer, &bytes, &written, max_bytes_per_ms);
+            let write_future =
+                write_counted(&mut writer, [&head, &body], &written, max_bytes_per_ms);
             tokio::pin!(write_future);
             let mut write_failure: Option<Name> = None;
             loop {
                 tokio::select! {
                     biased;
-                    result = &mut write_future, if written.get() < bytes.len() && write_failure.is_none() => {
+                    result = &mut write_future, if written.get() < total_bytes && write_failure.is_none() => {
                         match result {
                             Ok(()) => {}
                             Err(error) if written.get() == 0 => {
@@ -246,7 +249,7 @@
                 }
             }
         };
-        let is_fully_sent = written.get() == bytes.len();
+        let is_fully_sent = written.get() == total_bytes;
         let ReadOutcome {
             response,
             codec,
@@ -261,12 +264,13 @@
         })
     }
 
-    /// Encodes a request.
+    /// Encodes a request as the bytes to send first, with the head, and those to send after them. Only a small body
+    /// is copied behind the head, so that one write suffices.
     ///
     /// # Errors
     ///
     /// [`ExchangeError::NotSent`] if the target is not a valid URI or the codec rejects the request.
-    fn encode(&mut self, request: &HttpRequest) -> Result<BytesMut> {
+    fn encode(&mut self, request: &HttpRequest) -> Result<(BytesMut, Bytes)> {
         let to = self.to;
         let not_sent = |cause: String| ExchangeError::NotSent {
             to,
@@ -282,14 +286,16 @@
         } else {
             BodySize::None
         };
-        let mut bytes = BytesMut::with_capacity(request.body.len() + 512);
+        let is_small = request.body.len() <= SMALL_BODY_BYTES;
+        let copied_bytes = if is_small { request.body.len() } else { 0 };
+        let mut bytes = BytesMut::with_capacity(copied_bytes + 512);
         let item = Message::Item((RequestHeadType::from(head), size));
         encode_message(&mut self.codec, item, &mut bytes).map_err(not_sent)?;
-        if !request.body.is_empty() {
-            let chunk = Message::Chunk(Some(request.body.clone()));
-            encode_message(&mut self.codec, chunk, &mut bytes).map_err(not_sent)?;
+        if is_small {
+            bytes.extend_from_slice(&request.body);
+            return Ok((bytes, Bytes::new()));
         }
-        Ok(bytes)
+        Ok((bytes, request.body.clone()))
     }
 
     /// Marks the connection as idle and sets until when it may be reused.
@@ -350,32 +356,39 @@
     Some(seconds.saturating_mul(1_000))
 }
 
-/// Writes all bytes, at most at `max_bytes_per_ms`, and counts those written so far in `written`.
+/// Writes all bytes of both parts, at most at `max_bytes_per_ms`, and counts those written so far in `written`.
 ///
 /// # Errors
 ///
 /// The I/O error if a write fails, and [`ErrorKind::WriteZero`] if the connection accepts no more bytes.
 async fn write_counted(
     writer: &mut WriteHalf<'_>,
-    bytes: &[u8],
+    parts: [&[u8]; 2],
     written: &Cell<usize>,
     max_bytes_per_ms: Option<u64>,
 ) -> std::io::Result<()> {
     let started_at = clock::now();
-    while written.get() < bytes.len() {
+    let [first, second] = parts;
+    let total_bytes = first.len() + second.len();
+    while written.get() < total_bytes {
         let end = match max_bytes_per_ms {
             Some(rate) => {
                 let elapsed_ms = clock::now().since(started_at);
                 let due = rate.saturating_mul(elapsed_ms + PACED_WRITE_MS);
-                bytes.len().min(usize::try_from(due).unwrap_or(usize::MAX))
+                total_bytes.min(usize::try_from(due).unwrap_or(usize::MAX))
             }
-            None => bytes.len(),
+            None => total_bytes,
         };
         if end <= written.get() {
             sleep(Duration::from_millis(PACED_WRITE_MS)).await;
             continue;
         }
-        let count = writer.write(&bytes[written.get()..end]).await?;
+        let start = written.get();
+        let part = match start.checked_sub(first.len()) {
+            Some(start) => &second[start..end - first.len()],
+            None => &first[start..end.min(first.len())],
+        };
+        let count = writer.write(part).await?;
         if count == 0 {
             return Err(ErrorKind::WriteZero.into());
         }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -35,6 +35,8 @@
 use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
 
+use crate::body_budget::BodyBudget;
+use crate::body_budget::BodyShare;
 use crate::message::HttpRequest;
 use crate::message::HttpResponse;
 use crate::message::codec_config;
@@ -74,6 +76,12 @@
 /// Returns the limits that currently apply.
 pub type LimitsFn = Rc<dyn Fn() -> ReadLimits>;
 
+/// Returns the response to a request whose body does not fit into the budget for bodies.
+pub type RefuseFn = Rc<dyn Fn() -> HttpResponse>;
+
+/// Retry delay of the default response to a request whose body does not fit, in seconds.
+const DEFAULT_RETRY_S: &str = "1";
+
 /// A listener, with the state that its connections share.
 #[derive(Clone)]
 pub struct HttpListener {
@@ -81,6 +89,8 @@
     limits: LimitsFn,
     closing: watch::Sender<bool>,
     running: Rc<Cell<usize>>,
+    body_budget: Rc<BodyBudget>,
+    refuse: RefuseFn,
 }
 
 /// Why a request was not read.
@@ -92,6 +102,9 @@
     /// The request exceeds a limit or violates the protocol.
     #[error("request rejected with status {0}")]
     Refused(StatusCode),
+    /// The body does not fit into the budget for bodies.
+    #[error("no memory for the body of the request")]
+    NoMemory,
 }
 
 /// Counts a request as running until the guard is dropped.
@@ -119,9 +132,23 @@
             limits,
             closing: watch::Sender::new(false),
             running: Rc::default(),
+            body_budget: Rc::new(BodyBudget::new(usize::MAX)),
+            refuse: Rc::new(|| {
+                let reason = "too many large bodies at once; retry later\n";
+                HttpResponse::new(StatusCode::SERVICE_UNAVAILABLE, reason)
+                    .with_header("retry-after", DEFAULT_RETRY_S)
+            }),
         }
     }
 
+    /// Sets the budget for bodies, which listeners may share, and the response to requests that exceed it.
+    #[must_use]
+    pub fn with_body_budget(mut self, body_budget: Rc<BodyBudget>, refuse: RefuseFn) -> Self {
+        self.body_budget = body_budget;
+        self.refuse = refuse;
+        self
+    }
+
     /// Binds an address and serves it in a new task until [`HttpListener::close`].
     ///
     /// # Errors
@@ -177,12 +204,23 @@
             buffer: BytesMut::new(),
         };
         loop {
-            let request = match self.next_request(&mut caller).await {
+            let (request, body_share) = match self.next_request(&mut caller).await {
                 Ok(request) => request,
                 Err(ReadError::Ended) => return,
                 Err(ReadError::Refused(status)) => {
                     let response = HttpResponse::new(status, "the request was not understood\n");
-                    caller.write_response(response, true).await;
+                    caller.write_response(response, Some(LINGER_MS)).await;
+                    return;
+                }
+                Err(ReadError::NoMemory) => {
+                    log::warn!(
+                        "decision request refused: no memory for its body, bodies in use {} bytes",
+                        self.body_budget.used_bytes()
+                    );
+                    // The caller may read the response only once it has sent its body.
+                    let linger_ms = (self.limits)().read_ms;
+                    let response = (self.refuse)();
+                    caller.write_response(response, Some(linger_ms)).await;
                     return;
                 }
             };
@@ -192,8 +230,10 @@
             let Some(response) = caller.run_handler(handler).await else {
                 return;
             };
+            drop(body_share);
             let is_last = *self.closing.borrow() || !caller.codec.keep_alive();
-            let is_written = caller.write_response(response, is_last).await;
+            let linger_ms = is_last.then_some(LINGER_MS);
+            let is_written = caller.write_response(response, linger_ms).await;
             drop(running);
             if is_last || !is_written {
                 return;
@@ -206,8 +246,12 @@
     /// # Errors
     ///
     /// [`ReadError::Ended`] if the connection ends, stays idle for too long, or is idle when the listener
-    /// closes, and [`ReadError::Refused`] if the request exceeds a limit or violates the protocol.
-    async fn next_request(&self, caller: &mut CallerConnection) -> Result<HttpRequest> {
+    /// closes, [`ReadError::Refused`] if the request exceeds a limit or violates the protocol, and
+    /// [`ReadError::NoMemory`] if its body does not fit into the budget for bodies.
+    async fn next_request(
+        &self,
+        caller: &mut CallerConnection,
+    ) -> Result<(HttpRequest, BodyShare)> {
         let limits = (self.limits)();
         let mut closing = self.closing.subscribe();
         if caller.buffer.is_empty() {
@@ -219,7 +263,7 @@
             }
         }
         let limit = Duration::from_millis(limits.read_ms);
-        timeout(limit, caller.read_request(limits))
+        timeout(limit, caller.read_request(limits, &self.body_budget))
             .await
             .unwrap_or(Err(ReadError::Refused(StatusCode::REQUEST_TIMEOUT)))
     }
@@ -277,9 +321,13 @@
     ///
     /// # Errors
     ///
-    /// [`ReadError::Ended`] if the connection ends, and [`ReadError::Refused`] if the request is malformed or
-    /// too large.
-    async fn read_request(&mut self, limits: ReadLimits) -> Result<HttpRequest> {
+    /// [`ReadError::Ended`] if the connection ends, [`ReadError::Refused`] if the request is malformed or too
+    /// large, and [`ReadError::NoMemory`] if its body does not fit into the budget for bodies.
+    async fn read_request(
+        &mut self,
+        limits: ReadLimits,
+        body_budget: &Rc<BodyBudget>,
+    ) -> Result<(HttpRequest, BodyShare)> {
         let Message::Item(mut request) = self.read_message(limits).await? else {
             return Err(ReadError::Refused(StatusCode::BAD_REQUEST));
         };
@@ -288,36 +336,60 @@
             .path_and_query()
             .map_or("/", |target| target.as_str())
             .into();
+        let announced_bytes = content_length(&request).unwrap_or_default();
+        if announced_bytes > limits.body_bytes {
+            return Err(ReadError::Refused(StatusCode::PAYLOAD_TOO_LARGE));
+        }
+        let mut body_share = body_budget
+            .reserve(announced_bytes)
+            .ok_or(ReadError::NoMemory)?;
         if request.head().expect() {
             let continue_response = b"HTTP/1.1 100 Continue\r\n\r\n";
             let written = self.stream.write_all(continue_response).await;
             written.map_err(|_| ReadError::Ended)?;
         }
-        let body = self.read_body(limits).await?;
-        Ok(HttpRequest {
+        let body = self
+            .read_body(limits, announced_bytes, &mut body_share)
+            .await?;
+        let request = HttpRequest {
             method: request.method().clone(),
             target,
             headers: std::mem::take(request.headers_mut()),
             body,
-        })
+        };
+        Ok((request, body_share))
     }
 
-    /// Reads the body of a request.
+    /// Reads the body of a request, of `announced_bytes` bytes if its head says so.
     ///
     /// # Errors
     ///
-    /// [`ReadError::Ended`] if the connection ends, and [`ReadError::Refused`] if the body is malformed or too
-    /// large.
-    async fn read_body(&mut self, limits: ReadLimits) -> Result<Bytes> {
-        let mut body = BytesMut::new();
+    /// [`ReadError::Ended`] if the connection ends, [`ReadError::Refused`] if the body is malformed or too
+    /// large, and [`ReadError::NoMemory`] if it does not fit into the budget for bodies.
+    async fn read_body(
+        &mut self,
+        limits: ReadLimits,
+        announced_bytes: usize,
+        body_share: &mut BodyShare,
+    ) -> Result<Bytes> {
+        // Growing by doubling would take up to twice the size of the body.
+        let mut body = BytesMut::with_capacity(announced_bytes);
         if matches!(self.codec.message_type(), actix_http::h1::MessageType::None) {
             return Ok(body.freeze());
         }
         while let Message::Chunk(Some(chunk)) = self.read_message(limits).await? {
-            body.extend_from_slice(&chunk);
-            if body.len() > limits.body_bytes {
+            let length = body.len() + chunk.len();
+            if length > limits.body_bytes {
                 return Err(ReadError::Refused(StatusCode::PAYLOAD_TOO_LARGE));
             }
+            if length > body.capacity() {
+                let capacity = (body.capacity() * 2).clamp(length, limits.body_bytes);
+                if !body_share.grow_to(capacity) {
+                    return Err(ReadError::NoMemory);
+                }
+                body.reserve(capacity - body.len());
+            }
+            body.extend_from_slice(&chunk);
         }
         Ok(body.freeze())
     }
@@ -357,14 +429,15 @@
         }
     }
 
-    /// Writes a response, and closes the connection if it is the last one. Returns false if the response could
-    /// not be encoded, or not be written within [`WRITE_TIMEOUT_MS`].
-    async fn write_response(&mut self, response: HttpResponse, is_last: bool) -> bool {
+    /// Writes a response. If it is the last one, `linger_ms` is set, and the connection is closed once the caller
+    /// has closed it or after that time. Returns false if the response could not be encoded, or not be written
+    /// within [`WRITE_TIMEOUT_MS`].
+    async fn write_response(&mut self, response: HttpResponse, linger_ms: Option<u64>) -> bool {
         let mut headers = response.headers;
         strip_connection_headers(&mut headers);
         let mut head = Response::with_body(response.status, ());
         *head.headers_mut() = headers;
-        if is_last {
+        if linger_ms.is_some() {
             head.head_mut()
                 .set_connection_type(actix_http::ConnectionType::Close);
             let close = HeaderValue::from_static("close");
@@ -388,24 +461,33 @@
         let write = self.stream.write_all(&bytes);
         let written = timeout(Duration::from_millis(WRITE_TIMEOUT_MS), write).await;
         let is_written = matches!(written, Ok(Ok(())));
-        if is_written && is_last {
-            self.close_gracefully().await;
+        if let Some(linger_ms) = linger_ms.filter(|_| is_written) {
+            self.close_gracefully(linger_ms).await;
         }
         is_written
     }
 
-    /// Closes the connection after the caller has, or after [`LINGER_MS`]. Closing with unread bytes would send
+    /// Closes the connection after the caller has, or after `linger_ms` milliseconds. Closing with unread bytes would send
     /// a reset, which could discard the response before the caller reads it.
-    async fn close_gracefully(&mut self) {
+    async fn close_gracefully(&mut self, linger_ms: u64) {
         if let Err(error) = self.stream.shutdown().await {
             log::debug!("failed to shut down a connection after its last response: {error}");
             return;
         }
-        let mut unread = [0_u8; 1024];
+        let mut unread = [0_u8; UNREAD_BUFFER_BYTES];
         let drain = async { while matches!(self.stream.read(&mut unread).await, Ok(1..)) {} };
-        let _result = timeout(Duration::from_millis(LINGER_MS), drain).await;
+        let _result = timeout(Duration::from_millis(linger_ms), drain).await;
     }
 }
 
+/// Returns the size of the body that the head of a request announces.
+fn content_length(request: &Request) -> Option<usize> {
+    let value = request.head().headers().get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.trim().parse().ok()
+}
+
+/// Size of the buffer for bytes that are read and discarded.
+const UNREAD_BUFFER_BYTES: usize = 4 * 1024;
+
 /// Time limit for a caller to close its side after the last response, in milliseconds: some round trips.
 const LINGER_MS: u64 = 100;
