edge: record in the store that a backend server leaves

Cause: the end was kept in memory only, and a new run of the agent accepted any first report. Change: the incarnation that leaves is written without a lease, in the transaction that changes the agent's record anyway, and the leaving is acknowledged once the store has it, after 400 ms at the latest. A new run reads it before it answers the first report, and sends nothing to that incarnation.

--- a/crates/edge/src/announcements.rs
+++ b/crates/edge/src/announcements.rs
@@ -27,9 +27,9 @@
 use crate::refusal;
 use crate::snapshot::FleetSnapshot;
 
-/// Longest delay of the answer to a backend server that leaves, in milliseconds. The platform takes an answer
-/// that comes within a second.
-const MAX_LEAVING_REPLY_MS: u64 = 400;
+/// Longest delay of the answer to a backend server that leaves, or of the first answers of a run of the agent, in
+/// milliseconds. The platform takes an answer that comes within a second.
+const MAX_REPLY_DELAY_MS: u64 = 400;
 
 /// Answers announcements.
 pub struct AnnouncementListener {
@@ -48,6 +48,7 @@
 impl AnnouncementListener {
     /// Answers an announcement.
     pub async fn answer(&self, request: &HttpRequest) -> HttpResponse {
+        let reply_by = clock::now().plus(MAX_REPLY_DELAY_MS);
         let id = match announce::announced_id(request.path()) {
             Ok(id) => id,
             Err(error) => {
@@ -56,6 +57,7 @@
         };
         if request.method == Method::DELETE {
             self.backend.mark_ended(clock::now(), &id);
+            self.wait_until_leaving_is_recorded(reply_by).await;
             return HttpResponse::new(StatusCode::OK, "{}");
         }
         let announced = match announce::decode(id, &request.body) {
@@ -66,6 +68,7 @@
             }
         };
         let address = self.address;
+        self.read_recorded_leaving(reply_by).await;
         let snapshot = Rc::clone(&self.snapshot.borrow());
         let outcome = if self.keeps_keys_while_leaving(&announced, &snapshot) {
             let outcome = self.backend.announce(
@@ -77,7 +80,7 @@
             );
             match outcome {
                 AnnounceOutcome::Accepted(_) => {
-                    AnnounceOutcome::Accepted(self.grant_after_moves(&announced).await)
+                    AnnounceOutcome::Accepted(self.grant_after_moves(&announced, reply_by).await)
                 }
                 outcome => outcome,
             }
@@ -89,6 +92,9 @@
                 .announce(clock::now(), address, announced, table, authority)
         };
         self.start_measurement();
+        if matches!(outcome, AnnounceOutcome::Accepted(_)) {
+            self.wait_until_leaving_is_recorded(reply_by).await;
+        }
         match outcome {
             AnnounceOutcome::Accepted(reply) => match announce::encode_reply(reply.as_ref()) {
                 Ok(body) => {
@@ -134,6 +140,40 @@
         });
     }
 
+    /// Reads from the store's records whether the backend server began to leave before this run of the agent, so
+    /// that a late report does not bring it back into use. Waits for the first records until `reply_by` at most.
+    async fn read_recorded_leaving(&self, reply_by: Millis) {
+        let mut updates = self.snapshot.subscribe();
+        let read = updates.wait_for(|snapshot| snapshot.revision > 0);
+        if timeout(time_until(reply_by), read).await.is_err() {
+            log::warn!("belief announced before any record was read from the store");
+        }
+        let snapshot = self.snapshot.borrow();
+        let recorded = snapshot.leaving.get(self.backend.node());
+        self.backend
+            .set_recorded_leaving(clock::now(), recorded.map(|recorded| &recorded.incarnation));
+    }
+
+    /// Waits until the store says that the backend server leaves, if it does, so that the acknowledgement outlives
+    /// this run of the agent. Waits until `reply_by` at most: the store may be out of reach.
+    async fn wait_until_leaving_is_recorded(&self, reply_by: Millis) {
+        let Some(leaving) = self.backend.leaving() else {
+            return;
+        };
+        let mut updates = self.snapshot.subscribe();
+        let node = self.backend.node();
+        let recorded = updates.wait_for(|snapshot| {
+            let recorded = snapshot.leaving.get(node);
+            recorded.is_some_and(|recorded| recorded.incarnation == leaving)
+        });
+        if timeout(time_until(reply_by), recorded).await.is_err() {
+            log::warn!(
+                "belief backend={} leaves: not recorded within {MAX_REPLY_DELAY_MS} ms",
+                leaving.id
+            );
+        }
+    }
+
     /// Whether a leaving backend server has keys that are not marked for their next owners.
     fn keeps_keys_while_leaving(&self, announced: &Announcement, snapshot: &FleetSnapshot) -> bool {
         let ranges = snapshot.ranges.get(&announced.service);
@@ -143,20 +183,20 @@
         })
     }
 
-    /// Waits until the keys of a leaving backend server are marked for their next owners, for at most
-    /// [`MAX_LEAVING_REPLY_MS`], and grants the others. Its announcement has been applied, so that the moves
-    /// can start.
-    async fn grant_after_moves(&self, announced: &Announcement) -> Option<GrantReply> {
+    /// Waits until the keys of a leaving backend server are marked for their next owners, until `reply_by` at most,
+    /// and grants the others. Its announcement has been applied, so that the moves can start.
+    async fn grant_after_moves(
+        &self,
+        announced: &Announcement,
+        reply_by: Millis,
+    ) -> Option<GrantReply> {
         let mut updates = self.snapshot.subscribe();
         let moved =
             updates.wait_for(|snapshot| !self.keeps_keys_while_leaving(announced, snapshot));
         let incarnation = &announced.incarnation;
-        if timeout(Duration::from_millis(MAX_LEAVING_REPLY_MS), moved)
-            .await
-            .is_err()
-        {
+        if timeout(time_until(reply_by), moved).await.is_err() {
             log::info!(
-                "belief backend={} leaves with its keys: no move within {MAX_LEAVING_REPLY_MS} ms",
+                "belief backend={} leaves with its keys: no move within {MAX_REPLY_DELAY_MS} ms",
                 incarnation.id
             );
         }
@@ -173,3 +213,8 @@
         )
     }
 }
+
+/// Returns the time from now until `end`.
+fn time_until(end: Millis) -> Duration {
+    Duration::from_millis(end.since(clock::now()))
+}
--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -193,13 +193,15 @@
             Rc::clone(&snapshot),
         ));
         let record = record_builder(&settings, run, &backend, &is_shutting_down);
-        let member = Rc::new(LocalMember::new(
+        let leaving_backend = Rc::clone(&backend);
+        let member = LocalMember::new(
             store,
             Rc::clone(&snapshot),
             Name::clone(&settings.name),
             record,
             Rc::clone(&support),
-        ));
+        );
+        let member = Rc::new(member.with_leaving(Rc::new(move || leaving_backend.leaving())));
         let feed = Rc::new(watch::Sender::new(FeedState::default()));
         let relay = |part| RelayedRecords {
             part,
@@ -290,6 +292,7 @@
                     listed = next;
                 }
                 _ = snapshot_updates.changed() => {
+                    self.read_recorded_leaving();
                     self.gateway.remove_absent_endpoints();
                     if self.has_current_record() && !self.support.has_lost_quorum() {
                         continue;
@@ -300,6 +303,14 @@
         }
     }
 
+    /// Reads from the snapshot whether the backend server leaves.
+    fn read_recorded_leaving(&self) {
+        let snapshot = self.snapshot.borrow();
+        let recorded = snapshot.leaving.get(&self.settings.name);
+        self.backend
+            .set_recorded_leaving(clock::now(), recorded.map(|recorded| &recorded.incarnation));
+    }
+
     /// Whether the snapshot has this agent's record and the record has not lapsed.
     fn has_current_record(&self) -> bool {
         let snapshot = self.snapshot.borrow();
--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -92,6 +92,8 @@
     announce_interval_ms: u64,
     /// How long a backend server serves after it has begun to leave, in milliseconds.
     drain_ms: u64,
+    /// The incarnation that began to leave according to the store.
+    recorded_leaving: RefCell<Option<BackendIncarnation>>,
     is_closed: Cell<bool>,
     changes: watch::Sender<u64>,
 }
@@ -112,6 +114,7 @@
             longest_grant_ms,
             announce_interval_ms,
             drain_ms: 0,
+            recorded_leaving: RefCell::default(),
             is_closed: Cell::new(false),
             changes: watch::Sender::new(0),
         }
@@ -124,6 +127,12 @@
         self
     }
 
+    /// Returns the name of the instance.
+    #[must_use]
+    pub const fn node(&self) -> &Name {
+        &self.node
+    }
+
     /// Returns a receiver that is notified of every change.
     #[must_use]
     pub fn subscribe(&self) -> watch::Receiver<u64> {
@@ -260,9 +269,10 @@
             sent,
         });
         state.released.extend(announced.released.iter().cloned());
-        if announced.phase == BackendPhase::Draining {
+        let is_recorded = self.is_recorded_leaving(&announced.incarnation);
+        if is_recorded || announced.phase == BackendPhase::Draining {
             // An earlier run of the agent may have acknowledged that it leaves, at any time before.
-            let since = if is_first_heard {
+            let since = if is_recorded || is_first_heard {
                 now.minus(self.drain_ms)
             } else {
                 now
@@ -368,6 +378,44 @@
             && table.owned(&owner).any(|range| range.next_owner.is_none())
     }
 
+    /// Returns the incarnation of the backend server if it leaves or has left.
+    #[must_use]
+    pub fn leaving(&self) -> Option<BackendIncarnation> {
+        self.read(|state| {
+            let state = state.filter(|state| state.leaving_since.is_some())?;
+            Some(state.announced.incarnation.clone())
+        })
+    }
+
+    /// Sets the incarnation that began to leave according to the store, which an earlier run of the agent may
+    /// have acknowledged. A late report of it does not bring it back into use.
+    pub fn set_recorded_leaving(&self, now: Millis, incarnation: Option<&BackendIncarnation>) {
+        if self.recorded_leaving.borrow().as_ref() == incarnation {
+            return;
+        }
+        self.recorded_leaving.replace(incarnation.cloned());
+        let mut current = self.state.borrow_mut();
+        let Some(state) = current.as_mut() else {
+            return;
+        };
+        let is_leaving = state.leaving_since.is_some();
+        if is_leaving || !self.is_recorded_leaving(&state.announced.incarnation) {
+            return;
+        }
+        log::info!(
+            "belief backend={} leaves, as an earlier run of the agent recorded",
+            state.announced.incarnation.id
+        );
+        state.leaving_since = Some(now.minus(self.drain_ms));
+        drop(current);
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Whether the store says that an incarnation has begun to leave.
+    fn is_recorded_leaving(&self, incarnation: &BackendIncarnation) -> bool {
+        self.recorded_leaving.borrow().as_ref() == Some(incarnation)
+    }
+
     /// Returns the incarnation whose service time is to be measured, once for each.
     #[must_use]
     pub fn take_measurement(&self) -> Option<BackendIncarnation> {
--- a/crates/edge/src/member.rs
+++ b/crates/edge/src/member.rs
@@ -12,6 +12,7 @@
 use jy_platform::store::StoreCommit;
 use jy_platform::store::StoreWrite;
 use jy_policy::outage;
+use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
 use jy_types::time::Millis;
@@ -19,7 +20,9 @@
 use tokio::time::timeout;
 
 use crate::feed::SnapshotSender;
+use crate::snapshot::FleetSnapshot;
 use crate::snapshot::instance_key;
+use crate::snapshot::leaving_key;
 use crate::snapshot::witness_key;
 use crate::support::LocalSupport;
 
@@ -55,11 +58,15 @@
 /// Builds the agent's record from its present state.
 pub type RecordFn = Rc<dyn Fn() -> InstanceRecord>;
 
+/// Returns the backend server's incarnation if it leaves.
+pub type LeavingFn = Rc<dyn Fn() -> Option<BackendIncarnation>>;
+
 /// The agent's membership in the fleet: its lease, its record and its authority to grant keys.
 pub struct LocalMember {
     store: StoreClient,
     snapshot: Rc<SnapshotSender>,
     record: RecordFn,
+    leaving: LeavingFn,
     support: Rc<LocalSupport>,
     node: Name,
     changed: Notify,
@@ -89,6 +96,7 @@
             store,
             snapshot,
             record,
+            leaving: Rc::new(|| None),
             support,
             node,
             changed: Notify::new(),
@@ -98,6 +106,14 @@
         }
     }
 
+    /// Sets the function that returns the backend server's incarnation if it leaves. Its leaving is recorded
+    /// beside the agent's record, and outlives both.
+    #[must_use]
+    pub fn with_leaving(mut self, leaving: LeavingFn) -> Self {
+        self.leaving = leaving;
+        self
+    }
+
     /// Returns until when the agent may grant keys; no other agent takes them before.
     #[must_use]
     pub fn authority(&self) -> Millis {
@@ -179,14 +195,22 @@
         let Some(instance) = instance.filter(|_| is_bound) else {
             return RecordStatus::Absent;
         };
-        if *instance.record == (self.record)() {
+        if *instance.record == (self.record)() && self.unrecorded_leaving(&snapshot).is_none() {
             RecordStatus::Current
         } else {
             RecordStatus::Outdated
         }
     }
 
-    /// Writes the record, and the set of witnesses if a new one is given. Returns false, since the write
+    /// Returns the backend server's incarnation if it leaves and the store does not say so yet.
+    fn unrecorded_leaving(&self, snapshot: &FleetSnapshot) -> Option<BackendIncarnation> {
+        let recorded = snapshot.leaving.get(&self.node);
+        (self.leaving)().filter(|incarnation| {
+            recorded.is_none_or(|recorded| recorded.incarnation != *incarnation)
+        })
+    }
+
+    /// Writes the record, the leaving of the backend server, and the set of witnesses if a new one is given. Returns false, since the write
     /// counts only once the snapshot shows it.
     ///
     /// # Errors
@@ -195,11 +219,11 @@
     async fn write(&self, set: Option<WitnessSet>) -> Result<bool> {
         let record = (self.record)();
         let (key, set_key) = (instance_key(&self.node), witness_key(&self.node));
-        let expected = {
+        let (expected, leaving) = {
             let snapshot = self.snapshot.borrow();
             let instance = snapshot.instances.get(&self.node);
             let witnesses = snapshot.witnesses.get(&self.node);
-            vec![
+            let expected = vec![
                 (
                     Name::clone(&key),
                     instance.map_or(0, |instance| instance.revision),
@@ -208,11 +232,13 @@
                     Name::clone(&set_key),
                     witnesses.map_or(0, |versioned| versioned.revision),
                 ),
-            ]
+            ];
+            (expected, self.unrecorded_leaving(&snapshot))
         };
-        let (Ok(text), Ok(set_text)) = (
+        let (Ok(text), Ok(set_text), Ok(leaving_text)) = (
             serde_json::to_string(&record),
             set.as_ref().map(serde_json::to_string).transpose(),
+            leaving.as_ref().map(serde_json::to_string).transpose(),
         ) else {
             log::error!("failed to encode own record");
             return Ok(false);
@@ -229,9 +255,16 @@
             value: text.into(),
             lease: 0,
         });
+        // Only this instance's agent writes the leaving, so that it needs no precondition of its own.
+        let leaving = leaving_text.map(|text| StoreWrite {
+            key: leaving_key(&self.node),
+            value: text.into(),
+            lease: 0,
+        });
+        let writes = std::iter::once(own).chain(witnesses).chain(leaving);
         let commit = StoreCommit {
             expected,
-            writes: std::iter::once(own).chain(witnesses).collect(),
+            writes: writes.collect(),
             deletes: Vec::new(),
         };
         let epoch = set.as_ref().map(|set| set.epoch);
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -12,6 +12,7 @@
 use jy_platform::operator::OperatorRecord;
 use jy_policy::choice::RouteChoice;
 use jy_ranges::table::RangeTable;
+use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
 use jy_types::record::Record;
@@ -26,6 +27,8 @@
 const INSTANCE_PREFIX: &str = "jy/instance/";
 /// Prefix of the owners' sets of witnesses.
 const WITNESS_PREFIX: &str = "jy/witness/";
+/// Prefix of the records of backend servers that leave.
+const LEAVING_PREFIX: &str = "jy/leaving/";
 /// Prefix of the tables of key ranges.
 const RANGES_PREFIX: &str = "jy/ranges/";
 
@@ -71,6 +74,16 @@
     pub revision: u64,
 }
 
+/// The last incarnation on an instance that began to leave, and the revision of its record. The record outlives the
+/// run of the agent that acknowledged the leaving.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeavingRecord {
+    /// The incarnation.
+    pub incarnation: BackendIncarnation,
+    /// The record's revision in the store.
+    pub revision: u64,
+}
+
 /// The records of the store as last read, in decoded form.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FleetSnapshot {
@@ -90,6 +103,8 @@
     pub ranges: BTreeMap<Name, VersionedRanges>,
     /// Witnesses by the name of the owner's instance.
     pub witnesses: BTreeMap<Name, VersionedWitnesses>,
+    /// Backend servers that leave or have left, by the name of their instance.
+    pub leaving: BTreeMap<Name, LeavingRecord>,
 }
 
 /// Returns the key of an agent's record.
@@ -104,6 +119,12 @@
     format!("{WITNESS_PREFIX}{node}").into()
 }
 
+/// Returns the key of the record of the backend server on an instance that leaves.
+#[must_use]
+pub fn leaving_key(node: &str) -> Name {
+    format!("{LEAVING_PREFIX}{node}").into()
+}
+
 /// Returns the key of a service's key ranges.
 #[must_use]
 pub fn ranges_key(service: &str) -> Name {
@@ -212,6 +233,8 @@
             self.apply_ranges(service, record);
         } else if let Some(node) = record.key.strip_prefix(WITNESS_PREFIX) {
             self.apply_witnesses(node, record);
+        } else if let Some(node) = record.key.strip_prefix(LEAVING_PREFIX) {
+            self.apply_leaving(node, record);
         }
     }
 
@@ -318,6 +341,25 @@
         }
     }
 
+    /// Applies the record of a backend server that leaves, or its deletion.
+    fn apply_leaving(&mut self, node: &str, record: &Record) {
+        let Some(value) = &record.value else {
+            self.leaving.remove(node);
+            return;
+        };
+        match serde_json::from_str::<BackendIncarnation>(value) {
+            Ok(incarnation) => {
+                let revision = record.revision;
+                let leaving = LeavingRecord {
+                    incarnation,
+                    revision,
+                };
+                self.leaving.insert(node.into(), leaving);
+            }
+            Err(error) => log::warn!("invalid {}: {error}; record ignored", record.key),
+        }
+    }
+
     /// Removes instances whose records lapsed long ago.
     fn remove_lapsed(&mut self, now: Millis) {
         let is_kept = |observed: &ObservedInstance| {
--- a/crates/edge/tests/test_announcements.rs
+++ b/crates/edge/tests/test_announcements.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use actix_http::Method;
+use actix_http::StatusCode;
 use googletest::prelude::*;
 use jy_edge::announcements::AnnouncementListener;
 use jy_edge::backend::LocalBackend;
@@ -13,6 +14,7 @@
 use jy_edge::member::LocalMember;
 use jy_edge::metrics::EdgeMetrics;
 use jy_edge::snapshot::FleetSnapshot;
+use jy_edge::snapshot::LeavingRecord;
 use jy_edge::snapshot::VersionedRanges;
 use jy_edge::support::LocalSupport;
 use jy_http::message::HttpRequest;
@@ -21,6 +23,7 @@
 use jy_ranges::table::RangeOwner;
 use jy_ranges::table::RangeTable;
 use jy_types::endpoint::BackendIncarnation;
+use jy_types::endpoint::BackendPhase;
 use jy_types::endpoint::InstanceRecord;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -53,7 +56,10 @@
 
 /// Returns a snapshot with a table of key ranges.
 fn snapshot(table: RangeTable) -> Rc<FleetSnapshot> {
-    let mut snapshot = FleetSnapshot::default();
+    let mut snapshot = FleetSnapshot {
+        revision: 1,
+        ..FleetSnapshot::default()
+    };
     let versioned = VersionedRanges {
         table: Rc::new(table),
         revision: 1,
@@ -62,6 +68,17 @@
     Rc::new(snapshot)
 }
 
+/// Returns a snapshot with a table of key ranges, in which the backend server on instance `n` leaves.
+fn recorded_as_leaving(table: RangeTable) -> Rc<FleetSnapshot> {
+    let mut snapshot = FleetSnapshot::clone(&snapshot(table));
+    let leaving = LeavingRecord {
+        incarnation: owner("n").incarnation,
+        revision: 2,
+    };
+    snapshot.leaving.insert("n".into(), leaving);
+    Rc::new(snapshot)
+}
+
 /// Returns the parts of an agent that has just started.
 fn listener() -> AnnouncementListener {
     let snapshot: Rc<SnapshotSender> = Rc::new(watch::Sender::new(snapshot(table())));
@@ -99,13 +116,13 @@
     }
 }
 
-/// Returns the announcement of a backend server that leaves and holds all keys.
-fn leaving_announcement() -> HttpRequest {
+/// Returns an announcement of a backend server that holds all keys, in a state.
+fn announcement(state: &str) -> HttpRequest {
     let body = serde_json::json!({
         "address": ADDRESS.to_string(),
         "born": 1,
         "info": { "service": "s", "version": "v1", "zone": "z", "slots": 4 },
-        "status": { "state": "draining", "sequence": 7, "cold_remaining_ms": 0 },
+        "status": { "state": state, "sequence": 7, "cold_remaining_ms": 0 },
         "holds": [[0, u16::MAX, 1]],
         "freed": [],
     });
@@ -120,7 +137,7 @@
         let listener = Rc::new(listener());
         let answering = Rc::clone(&listener);
         let answer =
-            actix_rt::spawn(async move { answering.answer(&leaving_announcement()).await });
+            actix_rt::spawn(async move { answering.answer(&announcement("draining")).await });
         sleep(Duration::from_millis(MIN_REPLY_DELAY_MS / 3)).await;
         expect_that!(answer.is_finished(), eq(false), "no move is marked");
         expect_that!(
@@ -133,9 +150,53 @@
         };
         expect_that!(listener.backend.read(is_leaving), eq(true));
         let moving = table().with_move(&owner("n"), 0, u16::MAX, &owner("m"));
-        listener.snapshot.send_replace(snapshot(moving));
+        listener.snapshot.send_replace(recorded_as_leaving(moving));
         let limit = Duration::from_millis(MIN_REPLY_DELAY_MS / 3);
         let is_answered = timeout(limit, answer).await.is_ok();
         expect_that!(is_answered, eq(true), "the moves are marked");
     });
 }
+
+/// Guards against an acknowledged end that is forgotten with the process that acknowledged it: the answer waits until
+/// the store has it.
+#[gtest]
+fn answer_end_waits_until_it_is_recorded() {
+    actix_rt::System::new().block_on(async {
+        let listener = Rc::new(listener());
+        let response = listener.answer(&announcement("ready")).await;
+        expect_that!(response.status, eq(StatusCode::OK));
+        let answering = Rc::clone(&listener);
+        let answer = actix_rt::spawn(async move {
+            let end = HttpRequest::new(Method::DELETE, "/instances/i-1");
+            answering.answer(&end).await
+        });
+        sleep(Duration::from_millis(MIN_REPLY_DELAY_MS / 3)).await;
+        expect_that!(answer.is_finished(), eq(false));
+        listener.snapshot.send_replace(recorded_as_leaving(table()));
+        let limit = Duration::from_millis(MIN_REPLY_DELAY_MS / 3);
+        let is_answered = timeout(limit, answer).await.is_ok();
+        expect_that!(is_answered, eq(true));
+    });
+}
+
+/// Guards against a server that had left and is in use again: after the agent's restart one of its reports arrives
+/// seconds late.
+#[gtest]
+fn answer_late_report_of_left_server_brings_it_not_back() {
+    actix_rt::System::new().block_on(async {
+        let listener = listener();
+        listener.snapshot.send_replace(recorded_as_leaving(table()));
+        let response = listener.answer(&announcement("ready")).await;
+        expect_that!(response.status, eq(StatusCode::OK));
+        let accepts = |is_keyed| {
+            listener.backend.read(|state| {
+                let now = clock::now();
+                state.is_some_and(|state| listener.backend.accepts(now, state, is_keyed))
+            })
+        };
+        expect_that!(accepts(false), eq(false));
+        expect_that!(accepts(true), eq(false));
+        let phase = listener.backend.listed().map(|listed| listed.phase);
+        expect_that!(phase, some(eq(BackendPhase::Draining)));
+    });
+}
--- a/crates/edge/tests/test_backend.rs
+++ b/crates/edge/tests/test_backend.rs
@@ -421,6 +421,44 @@
     expect_that!(accepts(&backend, 5_001, false), eq(false));
 }
 
+/// Guards against a server that had left and is in use again after a restart of the agent, also if the store's records
+/// are read after its late report.
+#[gtest]
+fn set_recorded_leaving_takes_nothing_but_later_incarnation() {
+    let backend = unannounced_backend().with_drain_ms(DRAIN_MS);
+    backend.announce(
+        Millis(9_000),
+        address(),
+        announcement(1, 1),
+        None,
+        UNLIMITED,
+    );
+    expect_that!(accepts(&backend, 9_001, false), eq(true));
+    backend.set_recorded_leaving(Millis(9_005), Some(&owner(1).incarnation));
+    expect_that!(accepts(&backend, 9_006, false), eq(false));
+    expect_that!(accepts(&backend, 9_006, true), eq(false));
+    backend.announce(
+        Millis(9_010),
+        address(),
+        announcement(1, 2),
+        None,
+        UNLIMITED,
+    );
+    expect_that!(accepts(&backend, 9_011, false), eq(false));
+    backend.announce(
+        Millis(9_020),
+        address(),
+        announcement(2, 1),
+        None,
+        UNLIMITED,
+    );
+    expect_that!(
+        accepts(&backend, 9_021, false),
+        eq(true),
+        "it has started again"
+    );
+}
+
 #[gtest]
 fn accepts_ended_without_notice_serves_keys_until_drained() {
     let backend = holding_backend();
