edge, policy: ask a busy backend server whether it has turned cold

Cause: the gate learned of a cold start from announcements alone.

The test of the load (10 to 200 requests a second, each moment of a second) needs the new module.

--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -1,6 +1,7 @@
 //! Sends requests to the backend server beside the agent and classifies its answers.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::Method;
@@ -19,6 +20,7 @@
 use jy_types::endpoint::BackendIncarnation;
 use jy_types::name::Name;
 use jy_types::routing::RouteRule;
+use jy_types::routing::ServiceRule;
 use jy_types::time::Millis;
 use tokio::time::sleep;
 
@@ -98,18 +100,7 @@
         let mut shortest: Option<u32> = None;
         for _ in 0..MEASUREMENTS {
             sleep(Duration::from_millis(MEASUREMENT_INTERVAL_MS)).await;
-            let request = HttpRequest::new(Method::GET, health_path).with_header("host", "backend");
-            let options = SendOptions {
-                connect_timeout_ms: CONNECT_TIMEOUT_MS,
-                response_timeout_ms: CONNECT_TIMEOUT_MS,
-                max_idle_ms: IDEMPOTENT_MAX_IDLE_MS,
-                max_bytes_per_ms: None,
-            };
-            match self
-                .pool
-                .send(self.address.get(), &request, None, options)
-                .await
-            {
+            match self.check_status(health_path).await {
                 Ok(response) => {
                     let load = headers::reported_load(&response.headers);
                     let percent = load.and_then(|load| load.service_time_percent);
@@ -121,6 +112,64 @@
         shortest
     }
 
+    /// Asks the backend server for its status.
+    ///
+    /// # Errors
+    ///
+    /// [`ExchangeError`] if there is no complete response in time.
+    async fn check_status(&self, health_path: &str) -> Result<HttpResponse, ExchangeError> {
+        let request = HttpRequest::new(Method::GET, health_path).with_header("host", "backend");
+        let options = SendOptions {
+            connect_timeout_ms: CONNECT_TIMEOUT_MS,
+            response_timeout_ms: CONNECT_TIMEOUT_MS,
+            max_idle_ms: IDEMPOTENT_MAX_IDLE_MS,
+            max_bytes_per_ms: None,
+        };
+        self.pool
+            .send(self.address.get(), &request, None, options)
+            .await
+    }
+
+    /// Counts a request that is about to be sent, and asks the backend server whether it has turned cold if that is
+    /// due. Its announcements say so too, but later.
+    pub(crate) fn start_cold_check(self: &Rc<Self>, service: &ServiceRule) {
+        let now = clock::now();
+        let is_due = {
+            let mut state = self.state.borrow_mut();
+            !state.cold_start_limiter.is_cold(now)
+                && state.cold_checks.record_sent(now, service.cold_per_s)
+        };
+        if !is_due {
+            return;
+        }
+        let (gate, health_path) = (Rc::clone(self), Name::clone(&service.health_path));
+        actix_rt::spawn(async move {
+            let result = gate.check_status(&health_path).await;
+            gate.state.borrow_mut().cold_checks.end();
+            match result {
+                Ok(response) => gate.apply_cold_ms(headers::cold_ms(&response.headers)),
+                Err(error) => {
+                    log::debug!("failed to ask whether the backend server is cold: {error}");
+                }
+            }
+        });
+    }
+
+    /// Applies the time for which the backend server stays cold, in milliseconds, if it states one.
+    fn apply_cold_ms(&self, cold_ms: Option<u64>) {
+        let Some(cold_ms) = cold_ms.filter(|cold_ms| *cold_ms > 0) else {
+            return;
+        };
+        let now = clock::now();
+        let mut state = self.state.borrow_mut();
+        if !state.cold_start_limiter.is_cold(now) {
+            log::info!("belief backend server turned cold, by its status: cold_ms={cold_ms}");
+        }
+        let until = now.plus(cold_ms);
+        state.cold_until = until;
+        state.cold_start_limiter.set_cold_until(now, until);
+    }
+
     /// Returns the backend server to send to, if it accepts the request.
     fn dispatch_target(&self, now: Millis, key: Option<u16>) -> Option<DispatchTarget> {
         let incarnation = self.backend.read(|state| {
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -17,6 +17,7 @@
 use jy_policy::choice::DEFAULT_SERVICE_TIME_RATIO;
 use jy_policy::choice::GateLoad;
 use jy_policy::cold::ColdStartLimiter;
+use jy_policy::cold_check::ColdCheckSchedule;
 use jy_policy::moving::TYPICAL_MOVE_GAP_MS;
 use jy_policy::moving::max_wait_ms;
 use jy_policy::offered::OfferedWork;
@@ -63,6 +64,10 @@
     pub(crate) queue: WorkQueue,
     /// Limits the rate of starts while the backend server is cold.
     pub(crate) cold_start_limiter: ColdStartLimiter,
+    /// When the backend server is asked whether it has turned cold.
+    pub(crate) cold_checks: ColdCheckSchedule,
+    /// Until when it stays cold according to its last response to a status check.
+    pub(crate) cold_until: Millis,
     /// Mean service time of each route.
     pub(crate) service_times: BTreeMap<Name, ServiceTimeMean>,
     /// Mean service time as a share of the latency objective.
@@ -124,6 +129,8 @@
         let state = GateState {
             queue: WorkQueue::new(1),
             cold_start_limiter: ColdStartLimiter::new(),
+            cold_checks: ColdCheckSchedule::new(),
+            cold_until: Millis::default(),
             service_times: BTreeMap::new(),
             relative_service_time: ServiceTimeMean::new(),
             reported_service_time: (Millis::default(), 100),
@@ -249,6 +256,7 @@
         if let Err(cause) = self.check_dispatchable(clock::now(), &job) {
             return not_run(cause, UNAVAILABLE_RETRY_MS);
         }
+        self.start_cold_check(&service);
         let outcome = self.dispatch(&job, &rule).await;
         drop(guard);
         outcome
@@ -348,10 +356,12 @@
                 state.service_times.clear();
                 state.relative_service_time = ServiceTimeMean::new();
                 state.offered_work = OfferedWork::new();
+                state.cold_until = Millis::default();
             }
             state.queue.set_slots(backend.announced.slots);
             state.cold_start_limiter.set_rate(service.cold_per_s);
-            let until = backend.last_heard.plus(backend.announced.cold_ms);
+            let announced_until = backend.last_heard.plus(backend.announced.cold_ms);
+            let until = announced_until.max(state.cold_until);
             state.cold_start_limiter.set_cold_until(now, until);
         });
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod capacity;
 pub mod choice;
 pub mod cold;
+pub mod cold_check;
 pub mod leaving;
 pub mod moving;
 pub mod offered;
--- a/crates/policy/tests/test_cold.rs
+++ b/crates/policy/tests/test_cold.rs
@@ -2,6 +2,7 @@
 
 use googletest::prelude::*;
 use jy_policy::cold::ColdStartLimiter;
+use jy_policy::cold_check::ColdCheckSchedule;
 use jy_types::time::Millis;
 
 /// Request rate that the backend server sustains in its cold start.
@@ -55,3 +56,62 @@
     expect_that!(limiter.try_acquire(Millis(4_000)), eq(false));
     expect_that!(limiter.next_available_at(Millis(4_000)), eq(Millis(4_072)));
 }
+
+/// Time until a status check is answered, in milliseconds.
+const CHECK_MS: u64 = 10;
+
+/// Returns the most requests that a backend server gets in one second if it is offered `rate_per_s` requests per second
+/// and turns cold at `cold_at` for 3 s, without an announcement.
+fn most_in_one_second(rate_per_s: u64, cold_at: u64) -> usize {
+    let (mut limiter, mut checks) = (ColdStartLimiter::new(), ColdCheckSchedule::new());
+    limiter.set_rate(RATE_PER_S);
+    let mut sent: Vec<u64> = Vec::new();
+    let mut answer_due = None;
+    let mut waiting = 0;
+    for now in 0..cold_at + 2_000 {
+        if answer_due == Some(now) {
+            answer_due = None;
+            checks.end();
+            if now - CHECK_MS / 2 >= cold_at {
+                limiter.set_cold_until(Millis(now), Millis(cold_at + 3_000));
+            }
+        }
+        waiting += usize::from(now * rate_per_s / 1_000 != (now + 1) * rate_per_s / 1_000);
+        while waiting > 0 && limiter.try_acquire(Millis(now)) {
+            waiting -= 1;
+            sent.push(now);
+            if !limiter.is_cold(Millis(now)) && checks.record_sent(Millis(now), RATE_PER_S) {
+                answer_due = Some(now + CHECK_MS);
+            }
+        }
+    }
+    let count_from = |from: u64| {
+        let in_second = |at: &&u64| (from..from + 1_000).contains(*at);
+        sent.iter().filter(in_second).count()
+    };
+    let cold = sent.iter().filter(|at| **at >= cold_at);
+    cold.map(|from| count_from(*from)).max().unwrap_or(0)
+}
+
+/// Guards against a busy backend server that turns cold between two announcements, gets its full share and crashes.
+#[gtest]
+fn record_sent_busy_server_turning_cold_stays_within_limit() {
+    for rate_per_s in [10, 22, 30, 39, 60, 100, 200] {
+        for cold_at in (5_000..6_000).step_by(7) {
+            let most = most_in_one_second(rate_per_s, cold_at);
+            expect_that!(most, le(26), "{rate_per_s} per second, cold at {cold_at}");
+        }
+    }
+}
+
+/// Guards against status checks that cost more than they find: an idle backend server is not asked.
+#[gtest]
+fn record_sent_few_requests_asks_nothing() {
+    let mut checks = ColdCheckSchedule::new();
+    let mut ask = |now: u64| checks.record_sent(Millis(now), RATE_PER_S);
+    let asked = (0..100).filter(|number| ask(number * 200)).count();
+    expect_that!(asked, eq(0));
+    let unlimited =
+        (0..100).filter(|number| checks.record_sent(Millis(30_000 + number), f64::INFINITY));
+    expect_that!(unlimited.count(), eq(0));
+}
