edge: accept announcements from the address of changed settings

A backend server whose address changed in the settings file was rejected until the agent was restarted: the gate follows the file, the listener for announcements kept the address of the start. It compares with the gate's address now.

answer_changed_address_is_accepted fails before (400 from the new address, 200 from the old one), passes after.

--- a/crates/edge/src/announcements.rs
+++ b/crates/edge/src/announcements.rs
@@ -3,7 +3,6 @@
 //! An answer grants the keys that the backend server owns. One that leaves is answered once the table moves its
 //! keys, so that it releases them at once.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -33,8 +32,6 @@
 
 /// Answers announcements.
 pub struct AnnouncementListener {
-    /// Address of the backend server beside the agent.
-    pub address: SocketAddr,
     /// What the agent knows of the backend server.
     pub backend: SharedBackend,
     /// The agent's gate, which measures the backend server.
@@ -67,7 +64,7 @@
                 return refusal::rejected(StatusCode::BAD_REQUEST, &error.to_string());
             }
         };
-        let address = self.address;
+        let address = self.gate.address.get();
         self.read_recorded_leaving(reply_by).await;
         let snapshot = Rc::clone(&self.snapshot.borrow());
         let outcome = if self.keeps_keys_while_leaving(&announced, &snapshot) {
--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -328,7 +328,6 @@
         let (agent, peer_agent) = (Rc::clone(self), Rc::clone(self));
         let (ready_agent, metrics_agent) = (Rc::clone(self), Rc::clone(self));
         let announcements = Rc::new(AnnouncementListener {
-            address: self.settings.backend,
             backend: Rc::clone(&self.backend),
             gate: Rc::clone(&self.gate),
             member: Rc::clone(&self.member),
--- a/crates/edge/tests/test_announcements.rs
+++ b/crates/edge/tests/test_announcements.rs
@@ -108,7 +108,6 @@
         Rc::new(support),
     );
     AnnouncementListener {
-        address: ADDRESS,
         backend,
         gate: Rc::new(gate),
         member: Rc::new(member),
@@ -118,8 +117,13 @@
 
 /// Returns an announcement of a backend server that holds all keys, in a state.
 fn announcement(state: &str) -> HttpRequest {
+    announcement_from(ADDRESS, state)
+}
+
+/// Returns an announcement of a backend server at an address.
+fn announcement_from(address: SocketAddr, state: &str) -> HttpRequest {
     let body = serde_json::json!({
-        "address": ADDRESS.to_string(),
+        "address": address.to_string(),
         "born": 1,
         "info": { "service": "s", "version": "v1", "zone": "z", "slots": 4 },
         "status": { "state": state, "sequence": 7, "cold_remaining_ms": 0 },
@@ -200,3 +204,19 @@
         expect_that!(phase, some(eq(BackendPhase::Draining)));
     });
 }
+
+/// Guards against a backend server that is never used again: the settings name another address, and its announcements
+/// from there are rejected.
+#[gtest]
+fn answer_changed_address_is_accepted() {
+    actix_rt::System::new().block_on(async {
+        let listener = listener();
+        let mut next = ADDRESS;
+        next.set_port(10);
+        listener.gate.set_address(next);
+        let response = listener.answer(&announcement_from(next, "ready")).await;
+        expect_that!(response.status, eq(StatusCode::OK));
+        let response = listener.answer(&announcement("ready")).await;
+        expect_that!(response.status, eq(StatusCode::BAD_REQUEST));
+    });
+}
