edge: mark requests that are passed on to another agent

A caller's request with a path of the agents' own (/jy/deny, /jy/support, /jy/fleet, /jy/operator, /jy/transfer), on a route that covers it, was taken by the next agent for a message between agents: a caller could have owners of keys denied.

Cause: the listener chose by path. Change: requests that are passed on carry a mark, which callers can't set. serve_path_of_agents_is_forwarded_as_request and remove_peer_headers_drops_mark_of_forwarded_requests need the mark and don't compile before; the fault was found by reading, no run of it.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -401,20 +401,14 @@
         request: HttpRequest,
         received_at: Millis,
     ) -> LocalBoxFuture<'static, HttpResponse> {
-        match request.path() {
-            feed::FLEET_PATH => return Self::answer_relay(&request, self.fleet.clone()),
-            feed::OPERATOR_PATH => return Self::answer_relay(&request, self.operator.clone()),
-            transfer::TRANSFER_PATH => {
-                return Box::pin(Rc::clone(&self.gate).answer_transfer(request));
-            }
-            _ => {}
+        if !forward::is_forwarded(&request)
+            && let Some(answer) = self.answer_peer(&request)
+        {
+            return answer;
         }
         if let Some(ticket) = transfer::ticket_of(&request) {
             self.gate.end_transfer(ticket);
         }
-        if let Some(response) = self.support.answer(&request) {
-            return Box::pin(async move { response });
-        }
         let id = header_text(&request.headers, headers::REQUEST_ID).map(Name::from);
         let job = id.and_then(|id| forward::decode_job(request, id, received_at));
         let gate = Rc::clone(&self.gate);
@@ -429,6 +423,22 @@
         })
     }
 
+    /// Answers another agent's own request, by its path: for records, for the transfer of a body, or for support.
+    /// Returns `None` if it is none of these.
+    fn answer_peer(&self, request: &HttpRequest) -> Option<LocalBoxFuture<'static, HttpResponse>> {
+        match request.path() {
+            feed::FLEET_PATH => Some(Self::answer_relay(request, self.fleet.clone())),
+            feed::OPERATOR_PATH => Some(Self::answer_relay(request, self.operator.clone())),
+            transfer::TRANSFER_PATH => Some(Box::pin(
+                Rc::clone(&self.gate).answer_transfer(request.clone()),
+            )),
+            _ => {
+                let response = self.support.answer(request)?;
+                Some(Box::pin(async move { response }))
+            }
+        }
+    }
+
     /// Answers another agent that asks for records newer than the revision in the query.
     fn answer_relay(
         request: &HttpRequest,
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -17,6 +17,8 @@
 
 use crate::transfer;
 
+/// Marks a caller's request that is passed on, whatever its path. Without it, some paths are messages of agents.
+const FORWARDED_HEADER: &str = "jy-forwarded";
 /// Name of the route that the gateway found.
 const ROUTE_HEADER: &str = "jy-route";
 /// Service that is to run the request.
@@ -41,7 +43,8 @@
 
 /// Headers that are used between agents only. They are removed from callers' requests, and from forwarded
 /// requests and their answers after decoding, so that none leaves the fleet.
-const PEER_HEADERS: [&str; 11] = [
+const PEER_HEADERS: [&str; 12] = [
+    FORWARDED_HEADER,
     ROUTE_HEADER,
     SERVICE_HEADER,
     ORIGIN_HEADER,
@@ -255,9 +258,16 @@
 fn encode_job(job: &GateJob, now: Millis) -> HttpRequest {
     let mut request = job.request.clone();
     set_job_headers(&mut request.headers, job, now);
+    set_header(&mut request.headers, FORWARDED_HEADER, "1");
     request
 }
 
+/// Whether a request of another agent is a caller's request that it passes on.
+#[must_use]
+pub fn is_forwarded(request: &HttpRequest) -> bool {
+    request.headers.contains_key(FORWARDED_HEADER)
+}
+
 /// Sets the headers that describe a job to another agent's gate.
 pub(crate) fn set_job_headers(headers: &mut HeaderMap, job: &GateJob, now: Millis) {
     let (left_ms, objective_ms) = (job.deadline.since(now), job.objective.since(now));
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -16,6 +16,8 @@
 use jy_edge::forward::GateReport;
 use jy_edge::forward::NotRunCause;
 use jy_edge::forward::encode_report;
+use jy_edge::forward::is_forwarded;
+use jy_edge::forward::remove_peer_headers;
 use jy_edge::gate::LocalGate;
 use jy_edge::gateway::CallerGateway;
 use jy_edge::gateway::GatewayParts;
@@ -385,3 +387,43 @@
         (response, paths)
     })
 }
+
+/// Guards against callers that reach what agents say to each other: a path of theirs on a route that covers it, such as
+/// a denial of an owner of keys, was taken for another agent's own request.
+#[gtest]
+fn serve_path_of_agents_is_forwarded_as_request() {
+    actix_rt::System::new().block_on(async {
+        let seen: Rc<Cell<Option<bool>>> = Rc::default();
+        let recorded = Rc::clone(&seen);
+        let gate = serve_gate(Rc::new(move |request: HttpRequest, _| {
+            recorded.set(Some(is_forwarded(&request)));
+            let outcome = GateOutcome::Answered(HttpResponse::new(StatusCode::OK, "ran"));
+            Box::pin(async move {
+                encode_report(GateReport {
+                    outcome,
+                    load: None,
+                })
+            })
+        }))
+        .await;
+        let mut routes = routes(false, true);
+        routes.routes[0].prefix = "/jy/".into();
+        let gateway = gateway(snapshot(routes, gate, None));
+        let request = HttpRequest::new(Method::GET, "/jy/deny?owner=n&epoch=1&run=r")
+            .with_header("host", "h.example")
+            .with_header("x-request-id", "r1")
+            .with_header("x-deadline-ms", "1000");
+        let response = gateway.serve(request, clock::now()).await;
+        expect_that!(response.status, eq(StatusCode::OK));
+        expect_that!(seen.get(), some(eq(true)));
+    });
+}
+
+/// Guards against callers that mark their requests as if an agent passed them on, or as if it did not.
+#[gtest]
+fn remove_peer_headers_drops_mark_of_forwarded_requests() {
+    let mut request = HttpRequest::new(Method::GET, "/p/x").with_header("jy-forwarded", "1");
+    expect_that!(is_forwarded(&request), eq(true));
+    remove_peer_headers(&mut request.headers);
+    expect_that!(is_forwarded(&request), eq(false));
+}
