--- a/crates/edge/src/announcements.rs
+++ b/crates/edge/src/announcements.rs
@@ -64,34 +64,43 @@
                 return refusal::rejected(StatusCode::BAD_REQUEST, &error.to_string());
             }
         };
-        let address = self.gate.address.get();
         self.read_recorded_leaving(reply_by).await;
+        let outcome = self.apply(announced, reply_by).await;
+        self.start_measurement();
+        if matches!(outcome, AnnounceOutcome::Accepted(_)) {
+            self.wait_until_leaving_is_recorded(reply_by).await;
+        }
+        self.encode_outcome(&outcome)
+    }
+
+    /// Applies an announcement and grants keys in reply. One that leaves keys unmarked for their next owners is
+    /// replied to once they are marked, until `reply_by` at most.
+    async fn apply(&self, announced: Announcement, reply_by: Millis) -> AnnounceOutcome {
+        let address = self.gate.address.get();
         let snapshot = Rc::clone(&self.snapshot.borrow());
-        let outcome = if self.keeps_keys_while_leaving(&announced, &snapshot) {
-            let outcome = self.backend.announce(
-                clock::now(),
-                address,
-                announced.clone(),
-                None,
-                Millis::default(),
-            );
-            match outcome {
-                AnnounceOutcome::Accepted(_) => {
-                    AnnounceOutcome::Accepted(self.grant_after_moves(&announced, reply_by).await)
-                }
-                outcome => outcome,
-            }
-        } else {
+        if !self.keeps_keys_while_leaving(&announced, &snapshot) {
             let ranges = snapshot.ranges.get(&announced.service);
             let table = ranges.map(|ranges| &*ranges.table);
             let authority = self.member.authority();
-            self.backend
-                .announce(clock::now(), address, announced, table, authority)
-        };
-        self.start_measurement();
-        if matches!(outcome, AnnounceOutcome::Accepted(_)) {
-            self.wait_until_leaving_is_recorded(reply_by).await;
+            let now = clock::now();
+            return self
+                .backend
+                .announce(now, address, announced, table, authority);
         }
+        let (now, no_authority) = (clock::now(), Millis::default());
+        let outcome = self
+            .backend
+            .announce(now, address, announced.clone(), None, no_authority);
+        match outcome {
+            AnnounceOutcome::Accepted(_) => {
+                AnnounceOutcome::Accepted(self.grant_after_moves(&announced, reply_by).await)
+            }
+            AnnounceOutcome::Outdated | AnnounceOutcome::Foreign => outcome,
+        }
+    }
+
+    /// Encodes the outcome of an announcement as the response.
+    fn encode_outcome(&self, outcome: &AnnounceOutcome) -> HttpResponse {
         match outcome {
             AnnounceOutcome::Accepted(reply) => match announce::encode_reply(reply.as_ref()) {
                 Ok(body) => {
@@ -107,6 +116,7 @@
             },
             AnnounceOutcome::Outdated => HttpResponse::new(StatusCode::OK, "{}"),
             AnnounceOutcome::Foreign => {
+                let address = self.gate.address.get();
                 log::warn!("ignored an announcement: its address is not {address}");
                 refusal::rejected(StatusCode::BAD_REQUEST, "the address is another instance's")
             }
