policy: ask for a cold start only where a second can overrun it

Change: ask before the requests since the last question and those that the limit would still admit in the same second exceed 1.5 x cold_per_s and one more.

--- a/crates/policy/src/cold_check.rs
+++ b/crates/policy/src/cold_check.rs
@@ -7,19 +7,18 @@
 
 use jy_types::time::Millis;
 
-/// Number of requests between two questions, as a share of the requests that a cold backend server bears in one
-/// second. What it gets until an answer, and what the cold start limit admits in the rest of that second, then stay
-/// within one and a half times the rate and a few more.
-const CHECK_SHARE: f64 = 0.7;
+/// Requests in one second that a cold backend server bears for a short time, relative to its rate, and in addition.
+const SHORT_TERM_FACTOR: f64 = 1.5;
+const SHORT_TERM_SLACK: f64 = 1.0;
 /// Time over which requests are counted, in milliseconds.
 const WINDOW_MS: u64 = 1_000;
 
 /// Counts the requests that are sent to a backend server while it is believed to be warm.
 #[derive(Clone, Debug, Default)]
 pub struct ColdCheckSchedule {
-    /// When the requests of the last second were sent.
+    /// When the requests of the last second were sent, since the last question.
     recent: VecDeque<Millis>,
-    sent_since_check: usize,
+    last_asked: Millis,
     is_asking: bool,
 }
 
@@ -32,20 +31,25 @@
 
     /// Records that a request is sent. Returns whether the backend server is to be asked now; [`Self::end`] must follow
     /// then. `cold_per_s` is the rate that it bears while cold, in requests per second.
+    ///
+    /// If it has been cold since the last question, it has got all requests since then, and the cold start limit admits
+    /// no more than its rate for the rest of that second. It is asked before the sum exceeds what it bears.
     pub fn record_sent(&mut self, now: Millis, cold_per_s: f64) -> bool {
         let window_start = now.minus(WINDOW_MS);
         while self.recent.front().is_some_and(|at| *at < window_start) {
             self.recent.pop_front();
         }
         self.recent.push_back(now);
-        self.sent_since_check += 1;
-        let least = ((cold_per_s * CHECK_SHARE) as usize).max(1);
-        let is_due = self.recent.len() >= least && self.sent_since_check >= least;
+        let left_ms = WINDOW_MS.saturating_sub(now.since(self.last_asked));
+        let later = cold_per_s * left_ms as f64 / WINDOW_MS as f64;
+        let limit = cold_per_s * SHORT_TERM_FACTOR + SHORT_TERM_SLACK;
+        let is_due = self.recent.len() as f64 + later >= limit;
         if !cold_per_s.is_finite() || self.is_asking || !is_due {
             return false;
         }
         self.is_asking = true;
-        self.sent_since_check = 0;
+        self.last_asked = now;
+        self.recent.clear();
         true
     }
 
