types, edge, config: interfaces for tenants, API keys and quotas

Cause: configurations may hold tenants with API keys and quotas, which no part of the agent knows.

Change: the types of tenants, the setting of the bounds, the fields of a request that is passed to a gate, and the call by which a gateway asks for credit. Nothing is decided yet: no configuration is decoded with tenants, and every request gets credit.

--- a/crates/config/src/edge.rs
+++ b/crates/config/src/edge.rs
@@ -27,6 +27,7 @@
 /// Memory where the settings state none, in megabytes.
 const DEFAULT_MEMORY_MB: f64 = 160.0;
 const MAX_RETRY_SLACK: f64 = 1_000_000.0;
+const MAX_QUOTA_SLACK: f64 = 1_000_000.0;
 /// Minimum number of announcements per grant of keys, so that the keys survive one lost announcement.
 const MIN_ANNOUNCEMENTS_PER_GRANT: u64 = 2;
 
@@ -45,6 +46,17 @@
     pub metrics: SocketAddr,
 }
 
+/// Bounds on how far the requests of a tenant may exceed its quota.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaBounds {
+    /// Window over which requests are counted, in milliseconds.
+    pub window_ms: u64,
+    /// Allowed excess, as a share of what the quota allows in the window.
+    pub excess_ratio: f64,
+    /// Number of requests allowed beyond that, summed over all agents.
+    pub slack: f64,
+}
+
 /// Bounds that the operators of the deployment guarantee to their users.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EdgeBounds {
@@ -62,6 +74,11 @@
     pub retry_slack: f64,
     /// Window over which extra sends are counted, in milliseconds.
     pub retry_window_ms: u64,
+    /// Time after the acceptance of a configuration that withdraws an API key in which the key must be refused by
+    /// all agents, also by those that can't reach the store, in milliseconds; `None` if there is no such limit.
+    pub revoke_ms: Option<u64>,
+    /// Bounds on the requests of tenants beyond their quotas; `None` if the deployment states none.
+    pub quota: Option<QuotaBounds>,
 }
 
 /// Settings of an agent to which backend servers announce themselves.
@@ -180,6 +197,8 @@
     let ratio = object.required("retry_ratio", log, reader::number(0.0, 10.0));
     let slack = object.required("retry_slack", log, reader::number(0.0, MAX_RETRY_SLACK));
     let window = object.required("retry_window_s", log, reader::number(0.1, 600.0));
+    let revoke = object.optional("revoke_ms", log, reader::number(1.0, 600_000.0));
+    let quota = object.optional("quota", log, read_quota);
     object.finish(log);
     let bounds = EdgeBounds {
         announce_every_ms: announce_every?,
@@ -189,6 +208,8 @@
         retry_ratio: ratio?,
         retry_slack: slack?,
         retry_window_ms: (window? * 1_000.0) as u64,
+        revoke_ms: revoke.map(|revoke_ms| revoke_ms as u64),
+        quota,
     };
     let min_grant_ms = bounds.announce_every_ms * MIN_ANNOUNCEMENTS_PER_GRANT;
     if bounds.longest_grant_ms < min_grant_ms {
@@ -202,3 +223,17 @@
     }
     Some(bounds)
 }
+
+/// Reads the bounds on the requests of tenants beyond their quotas.
+fn read_quota(node: &TreeNode, log: &mut FindingLog) -> Option<QuotaBounds> {
+    let mut object = ObjectReader::new("\"quota\"", node, log)?;
+    let window = object.required("window_s", log, reader::number(0.1, 600.0));
+    let excess = object.required("excess_ratio", log, reader::number(0.0, 10.0));
+    let slack = object.required("slack", log, reader::number(0.0, MAX_QUOTA_SLACK));
+    object.finish(log);
+    Some(QuotaBounds {
+        window_ms: (window? * 1_000.0) as u64,
+        excess_ratio: excess?,
+        slack: slack?,
+    })
+}
--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -52,6 +52,7 @@
 use crate::member::LocalMember;
 use crate::member::RecordFn;
 use crate::metrics::EdgeMetrics;
+use crate::quota::LocalQuota;
 use crate::range_manager::RangeManager;
 use crate::range_manager::RangeManagerParts;
 use crate::refusal;
@@ -181,6 +182,7 @@
                 slack: bounds.retry_slack,
                 window_ms: bounds.retry_window_ms,
             },
+            quota: Rc::new(LocalQuota::new(Name::clone(&settings.name), bounds.quota)),
             metrics: Rc::clone(&metrics),
             refresh_requested: Rc::clone(&refresh_requested),
         }));
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -82,6 +82,10 @@
     pub origin: Name,
     /// Shard key, for services divided by key.
     pub key: Option<u16>,
+    /// Tenant that holds the caller's API key; `None` if the request needs no key.
+    pub tenant: Option<Name>,
+    /// The request must not be dispatched after this point, since its API key may have been withdrawn.
+    pub key_valid_until: Millis,
     /// An answer after this point is late.
     pub objective: Millis,
     /// An answer after this point is of no use.
@@ -299,6 +303,8 @@
         service,
         origin,
         key,
+        tenant: None,
+        key_valid_until: Millis::MAX,
         objective: received_at.plus(objective_ms),
         deadline: received_at.plus(left_ms),
     })
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -44,6 +44,9 @@
 use crate::forward::TransferLimits;
 use crate::gate::LocalGate;
 use crate::metrics::EdgeMetrics;
+use crate::quota::LocalQuota;
+use crate::quota::QuotaCredit;
+use crate::quota::QuotaOutcome;
 use crate::refusal;
 use crate::request_log::RequestLog;
 
@@ -54,6 +57,8 @@
 /// Share of the latency objective after which an unanswered idempotent request is hedged, that is, also sent
 /// to a second agent.
 const HEDGE_DELAY_SHARE: f64 = 0.6;
+/// Longest wait for credit of a tenant's quota, as a share of the latency objective: callers hardly notice it.
+const MAX_CREDIT_WAIT_SHARE: f64 = 0.125;
 /// Retry delay while the agent has no configuration, in milliseconds.
 const NO_CONFIGURATION_RETRY_MS: u64 = 300;
 
@@ -67,6 +72,7 @@
     endpoints: RefCell<EndpointTable>,
     send_counters: RefCell<BTreeMap<Name, SendCounter>>,
     budget: Cell<BudgetLimits>,
+    quota: Rc<LocalQuota>,
     pool: Rc<ConnectionPool>,
     rng: RefCell<SmallRng>,
     /// Rate at which the agent's link carries one large body, in bytes per millisecond.
@@ -94,6 +100,8 @@
     pub link_bytes_per_ms: f64,
     /// Limits on retries and hedges.
     pub budget: BudgetLimits,
+    /// Credit for the requests of tenants.
+    pub quota: Rc<LocalQuota>,
     /// The agent's metrics.
     pub metrics: Rc<EdgeMetrics>,
     /// Makes the feed ask for updates at once.
@@ -119,6 +127,8 @@
     retry_ms: u64,
     /// Name of the last failure, for the response and the log.
     last_failure: &'static str,
+    /// Credit of the tenant's quota; `None` if the request needs none.
+    credit: Option<QuotaCredit>,
 }
 
 /// Report of an ended attempt, with the agent that was asked.
@@ -168,6 +178,7 @@
             endpoints: RefCell::new(EndpointTable::new()),
             send_counters: RefCell::new(BTreeMap::new()),
             budget: Cell::new(parts.budget),
+            quota: parts.quota,
             pool: Rc::new(ConnectionPool::new()),
             rng: RefCell::new(SmallRng::from_os_rng()),
             bytes_per_ms: transfer_rate(parts.link_bytes_per_ms) as u64,
@@ -281,6 +292,8 @@
             service,
             origin: Name::clone(&self.origin.borrow()),
             key: caller_headers.key,
+            tenant: None,
+            key_valid_until: Millis::MAX,
             objective: received_at.plus(rule.objective_ms.min(left_ms)),
             deadline: received_at.plus(left_ms),
         };
@@ -295,11 +308,60 @@
             has_unknown_outcome: false,
             retry_ms: 0,
             last_failure: "no-endpoint",
+            credit: None,
         }))
     }
 
+    /// Obtains the credit that a request of a tenant with a quota needs.
+    ///
+    /// # Errors
+    ///
+    /// Returns the response to the caller if there is no credit.
+    async fn acquire_credit(&self, call: &mut CallState) -> Result<(), HttpResponse> {
+        let tenant = {
+            let snapshot = self.snapshot.borrow();
+            let tenants = snapshot
+                .routes
+                .as_ref()
+                .and_then(|routes| routes.tenants.as_ref());
+            let name = call.job.tenant.as_deref();
+            let rule = name
+                .zip(tenants)
+                .and_then(|(name, tenants)| tenants.find(name));
+            rule.filter(|rule| rule.quota.is_some()).cloned()
+        };
+        let Some(tenant) = tenant else {
+            return Ok(());
+        };
+        let wait_ms = call.job.objective.since(call.received_at) as f64 * MAX_CREDIT_WAIT_SHARE;
+        let wait_until = call.received_at.plus(wait_ms as u64);
+        match self.quota.acquire(&tenant, wait_until).await {
+            QuotaOutcome::Admitted(credit) => {
+                call.credit = Some(credit);
+                Ok(())
+            }
+            QuotaOutcome::Exceeded { retry_ms } => {
+                let reason = "the tenant's quota is used up";
+                let now = clock::now();
+                let response = refusal::over_quota(reason, retry_ms, now, call.job.deadline);
+                self.record_outcome(now, call, &response, "over-quota");
+                Err(response)
+            }
+            QuotaOutcome::Unavailable { retry_ms } => {
+                let reason = "no credit of the tenant's quota can be reached";
+                let now = clock::now();
+                let response = refusal::not_run(reason, retry_ms, now, call.job.deadline);
+                self.record_outcome(now, call, &response, "no-credit");
+                Err(response)
+            }
+        }
+    }
+
     /// Serves a routed request until its deadline.
     async fn serve_routed(self: &Rc<Self>, mut call: Box<CallState>) -> HttpResponse {
+        if let Err(response) = self.acquire_credit(&mut call).await {
+            return response;
+        }
         let service = Name::clone(&call.job.service);
         {
             let mut send_counters = self.send_counters.borrow_mut();
@@ -345,6 +407,10 @@
             }
         };
         self.record_outcome(now, &call, &response, outcome_name);
+        let has_run = call.backends_reached > 0 || is_sent || outcome_name == "answered";
+        if let Some(credit) = call.credit.take().filter(|_| !has_run) {
+            credit.refund();
+        }
         response
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod lost_owners;
 pub mod member;
 pub mod metrics;
+pub mod quota;
 pub mod range_manager;
 pub mod refusal;
 pub mod request_log;
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -12,10 +12,30 @@
 /// Builds the response to a request that has not run and will not run, with a `Retry-After` header.
 #[must_use]
 pub fn not_run(reason: &str, retry_ms: u64, now: Millis, deadline: Millis) -> HttpResponse {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    with_retry(status, reason, retry_ms, now, deadline)
+}
+
+/// Builds the response to a request that exceeds the quota of its tenant and has not run, with a `Retry-After`
+/// header.
+#[must_use]
+pub fn over_quota(reason: &str, retry_ms: u64, now: Millis, deadline: Millis) -> HttpResponse {
+    let status = StatusCode::TOO_MANY_REQUESTS;
+    with_retry(status, reason, retry_ms, now, deadline)
+}
+
+/// Builds the response to a request that was not run, with a `Retry-After` header.
+fn with_retry(
+    status: StatusCode,
+    reason: &str,
+    retry_ms: u64,
+    now: Millis,
+    deadline: Millis,
+) -> HttpResponse {
     let max_retry_ms = (deadline.since(now) as f64 * MAX_RETRY_SHARE) as u64;
     let retry_ms = retry_ms.max(MIN_RETRY_MS).min(max_retry_ms);
     let seconds = format!("{:.3}", retry_ms as f64 / 1_000.0);
-    problem(StatusCode::SERVICE_UNAVAILABLE, reason, "no").with_header("retry-after", &seconds)
+    problem(status, reason, "no").with_header("retry-after", &seconds)
 }
 
 /// Builds the response to a request that may have run.
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -22,6 +22,7 @@
 use jy_edge::gateway::CallerGateway;
 use jy_edge::gateway::GatewayParts;
 use jy_edge::metrics::EdgeMetrics;
+use jy_edge::quota::LocalQuota;
 use jy_edge::snapshot::FleetSnapshot;
 use jy_edge::snapshot::ObservedInstance;
 use jy_edge::snapshot::VersionedRanges;
@@ -81,6 +82,7 @@
             objective_ms: 2_000,
             priority: 1,
             max_attempts: 2,
+            public: false,
             targets: vec![RouteTarget {
                 service: "s".into(),
                 weight: 1,
@@ -103,6 +105,7 @@
             read_ms: 1_000,
             idle_ms: 1_000,
         },
+        tenants: None,
     }
 }
 
@@ -180,6 +183,7 @@
             slack: 50.0,
             window_ms: 10_000,
         },
+        quota: Rc::new(LocalQuota::new("own".into(), None)),
         metrics,
         refresh_requested: Rc::new(Notify::new()),
     }))
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod request;
 pub mod routing;
 pub mod status;
+pub mod tenant;
 pub mod time;
 pub mod workspace;
--- a/crates/types/src/routing.rs
+++ b/crates/types/src/routing.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::name::Name;
+use crate::tenant::TenantTable;
 
 /// Limits on the size of callers' requests and on the time for receiving them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,6 +49,8 @@
     pub priority: u32,
     /// Maximum number of backend servers to which one request may be sent.
     pub max_attempts: u32,
+    /// Whether requests need no API key although the configuration has tenants.
+    pub public: bool,
     /// Services that run the requests, with their shares.
     pub targets: Vec<RouteTarget>,
 }
@@ -70,7 +73,7 @@
 }
 
 /// One version of the accepted configuration.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RouteTable {
     /// Version number, which increases with each version.
     pub version: u64,
@@ -80,6 +83,9 @@
     pub services: BTreeMap<Name, ServiceRule>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// Tenants, one of whose API keys each request needs unless its route is public; `None` if the configuration
+    /// has no tenants and requests need no key.
+    pub tenants: Option<TenantTable>,
 }
 
 impl RouteTable {
