http: reject responses with a status that HTTP does not define

Cause: the codec takes any status from 100 to 999, so that a whole response with the status 999 and the request's id counted as the answer and reached the caller. 000 was rejected before.

Change: a response head with a status above 599 ends the exchange like a malformed head: the outcome is unknown.

Result: exchange_undefined_status_is_unknown failed for 600 and 999 before and passes, as does the case behind an informational response; all tests of jy-http pass.

--- a/crates/http/src/client/response.rs
+++ b/crates/http/src/client/response.rs
@@ -22,6 +22,9 @@
 /// Number of informational responses after which the exchange fails.
 const MAX_INFORMATIONAL_RESPONSES: usize = 8;
 
+/// Largest status that HTTP defines. The codec rejects statuses below 100, but not those above this one.
+const MAX_STATUS: u16 = 599;
+
 /// Number of responses to other requests that are skipped before the exchange fails.
 const MAX_SKIPPED_RESPONSES: usize = 3;
 
@@ -149,7 +152,8 @@
 ///
 /// # Errors
 ///
-/// A description if the head is malformed or the connection ends before it is complete.
+/// A description if the head is malformed, its status is not defined by HTTP, or the connection ends before it is
+/// complete.
 async fn read_head(
     reader: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
@@ -158,6 +162,9 @@
     use tokio_util::codec::Decoder;
     loop {
         match codec.decode(buffer) {
+            Ok(Some(head)) if head.status.as_u16() > MAX_STATUS => {
+                return Err(format!("the answer has the undefined status {}", head.status).into());
+            }
             Ok(Some(head)) => return Ok(head),
             Ok(None) => {}
             Err(error) => return Err(error.to_string().into()),
--- a/crates/http/tests/test_exchange.rs
+++ b/crates/http/tests/test_exchange.rs
@@ -270,3 +270,37 @@
         expect_that!(started_at.elapsed(), ge(expected));
     });
 }
+
+/// Guards against responses of a faulty backend server whose status HTTP does not define, such as 000 or 999. They
+/// were taken for the answer, and callers got them.
+#[gtest]
+fn exchange_undefined_status_is_unknown() {
+    let responses: [&'static [u8]; 8] = [
+        b"HTTP/1.1 000 \r\nx-request-id: mine\r\ncontent-length: 2\r\n\r\nok",
+        b"HTTP/1.1 000 OK\r\nx-request-id: mine\r\ncontent-length: 2\r\n\r\nok",
+        b"HTTP/1.1 099 OK\r\nx-request-id: mine\r\ncontent-length: 2\r\n\r\nok",
+        b"HTTP/1.1 20 OK\r\nx-request-id: mine\r\ncontent-length: 2\r\n\r\nok",
+        b"HTTP/1.1 2000 OK\r\nx-request-id: mine\r\ncontent-length: 2\r\n\r\nok",
+        b"HTTP/1.1 -20 OK\r\nx-request-id: mine\r\ncontent-length: 2\r\n\r\nok",
+        b"HTTP/1.1 600 OK\r\nx-request-id: mine\r\ncontent-length: 2\r\n\r\nok",
+        b"HTTP/1.1 999 OK\r\nx-request-id: mine\r\ncontent-length: 2\r\n\r\nok",
+    ];
+    for response in responses {
+        let text = String::from_utf8_lossy(response);
+        let error = run(response, false).err();
+        let may_have_run = error.as_ref().map(ExchangeError::may_have_run);
+        expect_that!(may_have_run, some(eq(true)), "{text}");
+    }
+}
+
+/// Guards against a status that HTTP does not define behind an informational response.
+#[gtest]
+fn exchange_undefined_status_after_informational_is_unknown() {
+    let error = run(
+        b"HTTP/1.1 103 Early Hints\r\n\r\n\
+          HTTP/1.1 700 OK\r\nx-request-id: mine\r\ncontent-length: 2\r\n\r\nok",
+        false,
+    );
+    let may_have_run = error.err().map(|error| error.may_have_run());
+    expect_that!(may_have_run, some(eq(true)));
+}
