types, platform, policy, edge: tenants and API keys

Cause: configurations may hold tenants whose callers authenticate with API keys, and withdrawn keys must end in time on every agent, also without the store. The agent knew neither.

The gateway checks the key after the route is found, keeps it only as a keyed hash, and removes it before anything is sent. The tenant and the time for which the key is valid go with the request to other gates, which check the time before the wait in the queue and before dispatch, set X-Tenant and use the tenant's priority. With bounds.revoke_ms the watch of operators' records returns every 500 ms in zones of any size. Debug output of records, requests and responses shows no values, and errors of malformed records quote none.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -49,6 +49,7 @@
 use crate::gate::LocalGate;
 use crate::gateway::CallerGateway;
 use crate::gateway::GatewayParts;
+use crate::keys::KeyChecker;
 use crate::member::LocalMember;
 use crate::member::RecordFn;
 use crate::metrics::EdgeMetrics;
@@ -170,6 +171,7 @@
             Rc::clone(&metrics),
             link_bytes_per_ms,
         ));
+        let operator_proof: Rc<Cell<Millis>> = Rc::default();
         let gateway = Rc::new(CallerGateway::new(GatewayParts {
             node: Name::clone(&settings.name),
             zone: Name::clone(&settings.zone),
@@ -183,6 +185,7 @@
                 window_ms: bounds.retry_window_ms,
             },
             quota: Rc::new(LocalQuota::new(Name::clone(&settings.name), bounds.quota)),
+            keys: KeyChecker::new(Rc::clone(&operator_proof), bounds.revoke_ms),
             metrics: Rc::clone(&metrics),
             refresh_requested: Rc::clone(&refresh_requested),
         }));
@@ -205,16 +208,16 @@
         );
         let member = Rc::new(member.with_leaving(Rc::new(move || leaving_backend.leaving())));
         let feed = Rc::new(watch::Sender::new(FeedState::default()));
-        let relay = |part| RelayedRecords {
+        let relay = |part, proved_until| RelayedRecords {
             part,
             replica: Rc::default(),
-            proved_until: Rc::default(),
+            proved_until,
             snapshot: Rc::clone(&snapshot),
             state: Rc::clone(&feed),
         };
         Self {
-            operator: relay(FeedPart::Operator),
-            fleet: relay(FeedPart::Fleet),
+            operator: relay(FeedPart::Operator, operator_proof),
+            fleet: relay(FeedPart::Fleet, Rc::default()),
             settings,
             snapshot,
             backend,
@@ -273,6 +276,7 @@
             replica: Rc::clone(&records.replica),
             proved_until: Rc::clone(&records.proved_until),
             pool: ConnectionPool::new(),
+            is_revocation_bounded: self.settings.bounds.revoke_ms.is_some(),
             avoided: RefCell::default(),
         })
     }
@@ -489,6 +493,10 @@
         metrics
             .store_age_ms
             .set(gauge_value(now.since(self.feed.borrow().last_heard)));
+        let proved_until = self.operator.proved_until.get();
+        metrics
+            .configuration_proof_age_ms
+            .set(gauge_value(now.since(proved_until)));
         metrics
             .authority_ms
             .set(gauge_value(self.member.authority().since(now)));
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -56,12 +56,24 @@
         let left_ms = job.deadline.since(sent_at);
         let mut request = job.request.clone();
         strip_connection_headers(&mut request.headers);
+        let has_tenants = {
+            let snapshot = self.snapshot.borrow();
+            snapshot
+                .routes
+                .as_ref()
+                .is_some_and(|routes| routes.tenants.is_some())
+        };
+        if has_tenants {
+            // The gateway has removed them, unless its configuration has no tenants yet.
+            headers::remove_credentials(&mut request.headers);
+        }
         headers::set_dispatch_headers(
             &mut request.headers,
             DispatchHeaders {
                 time_left_ms: left_ms,
                 backend: &target.incarnation.id,
                 origin: &job.origin,
+                tenant: job.tenant.as_deref(),
             },
         );
         let options = SendOptions {
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -27,6 +27,7 @@
 use jy_types::name::Name;
 use jy_types::record::Record;
 use jy_types::record::RecordBatch;
+use jy_types::record::describe_parse_error;
 use jy_types::time::Millis;
 use serde::Deserialize;
 use serde::Serialize;
@@ -42,8 +43,8 @@
 /// wait and the time-out of the answer. Their sum is less than the time within which an instance that lost
 /// its connections must follow a new configuration: 3 s to regain contact and 2 s to apply it.
 const WATCH_MS: u64 = 4_000;
-/// Longest wait of one watch for the records of operators where agents read them from one another, in
-/// milliseconds. It bounds the age of the proof that there is nothing newer.
+/// Longest wait of one watch for the records of operators where agents read them from one another or where the
+/// time to refuse withdrawn API keys is limited, in milliseconds. It bounds the age of the proof that there is nothing newer.
 const PROOF_WATCH_MS: u64 = 500;
 /// Oldest proof with which an agent accepts the records of operators from another agent, in milliseconds.
 /// Together with the time until an unresponsive reader is detected, it is less than the 2 s within which
@@ -182,6 +183,9 @@
     pub proved_until: Rc<Cell<Millis>>,
     /// Connections to other agents.
     pub pool: ConnectionPool,
+    /// Whether the bounds limit the time within which a withdrawn API key must be refused, so that the proof for the
+    /// records of operators must be recent also in small zones.
+    pub is_revocation_bounded: bool,
     /// Agents that failed to provide the records, and until when they are not asked again.
     pub avoided: RefCell<BTreeMap<Name, Millis>>,
 }
@@ -293,7 +297,7 @@
     /// Longest wait of a watch on the store, in milliseconds.
     fn watch_ms(&self) -> u64 {
         let is_relayed = self.snapshot.borrow().agents_in_zone(&self.zone) >= MIN_RELAY_AGENTS;
-        if self.part == FeedPart::Operator && is_relayed {
+        if self.part == FeedPart::Operator && (is_relayed || self.is_revocation_bounded) {
             PROOF_WATCH_MS
         } else {
             WATCH_MS
@@ -329,7 +333,10 @@
         match serde_json::from_slice(&response.body) {
             Ok(response) => Some(response),
             Err(error) => {
-                log::warn!("invalid records from {to}: {error}");
+                log::warn!(
+                    "invalid records from {to}: {}",
+                    describe_parse_error(&error)
+                );
                 None
             }
         }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -6,8 +6,10 @@
 use actix_http::header::HeaderMap;
 use jy_http::message::HttpRequest;
 use jy_http::message::HttpResponse;
+use jy_http::message::header_name_text;
 use jy_http::message::header_text;
 use jy_http::message::set_header;
+use jy_http::message::set_name_header;
 use jy_http::pool::ConnectionPool;
 use jy_http::pool::SendOptions;
 use jy_kernel::clock;
@@ -31,6 +33,10 @@
 const OBJECTIVE_MS_HEADER: &str = "jy-objective-ms";
 /// Shard key, for services divided by key.
 const KEY_HEADER: &str = "jy-key";
+/// Tenant that holds the API key of the request, if it needed one.
+const TENANT_HEADER: &str = "jy-tenant";
+/// Time left for which the API key is valid, in milliseconds; absent if there is no limit.
+const KEY_LEFT_MS_HEADER: &str = "jy-key-left-ms";
 /// Outcome at the gate: `answered`, `not-run` or `unknown`.
 const OUTCOME_HEADER: &str = "jy-outcome";
 /// Why the request was not run, or why its outcome is unknown.
@@ -43,7 +49,7 @@
 
 /// Headers that are used between agents only. They are removed from callers' requests, and from forwarded
 /// requests and their answers after decoding, so that none leaves the fleet.
-const PEER_HEADERS: [&str; 12] = [
+const PEER_HEADERS: [&str; 14] = [
     FORWARDED_HEADER,
     ROUTE_HEADER,
     SERVICE_HEADER,
@@ -51,6 +57,8 @@
     LEFT_MS_HEADER,
     OBJECTIVE_MS_HEADER,
     KEY_HEADER,
+    TENANT_HEADER,
+    KEY_LEFT_MS_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
     RETRY_MS_HEADER,
@@ -84,7 +92,7 @@
     pub key: Option<u16>,
     /// Tenant that holds the caller's API key; `None` if the request needs no key.
     pub tenant: Option<Name>,
-    /// The request must not be dispatched after this point, since its API key may have been withdrawn.
+    /// The request must be dispatched before this point, since its API key may have been withdrawn.
     pub key_valid_until: Millis,
     /// An answer after this point is late.
     pub objective: Millis,
@@ -106,6 +114,8 @@
     Overloaded,
     /// The backend server shed the request.
     Shed,
+    /// The request's API key may have been withdrawn since it was checked.
+    KeyExpired,
 }
 
 /// Outcome of a request at a gate.
@@ -146,6 +156,7 @@
             Self::Disowned => "disowned",
             Self::Overloaded => "overloaded",
             Self::Shed => "shed",
+            Self::KeyExpired => "key-expired",
         }
     }
 
@@ -163,6 +174,7 @@
             Self::Disowned,
             Self::Overloaded,
             Self::Shed,
+            Self::KeyExpired,
         ];
         all.into_iter().find(|cause| cause.name() == name)
     }
@@ -283,6 +295,13 @@
     if let Some(key) = job.key {
         set_header(headers, KEY_HEADER, &key.to_string());
     }
+    if let Some(tenant) = &job.tenant {
+        set_name_header(headers, TENANT_HEADER, tenant);
+    }
+    if job.key_valid_until < Millis::MAX {
+        let key_left_ms = job.key_valid_until.since(now);
+        set_header(headers, KEY_LEFT_MS_HEADER, &key_left_ms.to_string());
+    }
 }
 
 /// Decodes a job from an HTTP request. Returns `None` if a required header is missing or invalid.
@@ -295,6 +314,11 @@
     let left_ms: u64 = text(LEFT_MS_HEADER)?.parse().ok()?;
     let objective_ms: u64 = text(OBJECTIVE_MS_HEADER)?.parse().ok()?;
     let key = text(KEY_HEADER).and_then(|key| key.parse().ok());
+    let tenant = header_name_text(&request.headers, TENANT_HEADER).map(Name::from);
+    let key_valid_until = match text(KEY_LEFT_MS_HEADER) {
+        Some(key_left_ms) => received_at.plus(key_left_ms.parse().ok()?),
+        None => Millis::MAX,
+    };
     remove_peer_headers(&mut request.headers);
     Some(GateJob {
         request,
@@ -303,8 +327,8 @@
         service,
         origin,
         key,
-        tenant: None,
-        key_valid_until: Millis::MAX,
+        tenant,
+        key_valid_until,
         objective: received_at.plus(objective_ms),
         deadline: received_at.plus(left_ms),
     })
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -18,6 +18,7 @@
 use jy_policy::choice::GateLoad;
 use jy_policy::cold::ColdStartLimiter;
 use jy_policy::cold_check::ColdCheckSchedule;
+use jy_policy::key_check::may_dispatch;
 use jy_policy::moving::TYPICAL_MOVE_GAP_MS;
 use jy_policy::moving::max_wait_ms;
 use jy_policy::offered::OfferedWork;
@@ -248,9 +249,15 @@
         self.start_queued();
         let left_ms = job.deadline.since(now);
         let share_ms = (left_ms as f64 * MAX_QUEUE_WAIT_SHARE) as u64;
-        let max_wait_ms = left_ms.saturating_sub(work_ms as u64).min(share_ms);
+        let max_wait_ms = left_ms
+            .saturating_sub(work_ms as u64)
+            .min(share_ms)
+            .min(job.key_valid_until.since(now));
         let waited = timeout(Duration::from_millis(max_wait_ms.max(1)), start_signal).await;
         if !matches!(waited, Ok(Ok(()))) {
+            if !may_dispatch(clock::now(), job.key_valid_until) {
+                return not_run(NotRunCause::KeyExpired, UNAVAILABLE_RETRY_MS);
+            }
             return not_run(NotRunCause::Overloaded, work_ms as u64);
         }
         if let Err(cause) = self.check_dispatchable(clock::now(), &job) {
@@ -280,7 +287,10 @@
             let is_pending = match cause {
                 NotRunCause::Unavailable => self.backend.is_starting(now),
                 NotRunCause::NotHolder => self.is_grant_pending(job),
-                NotRunCause::Disowned | NotRunCause::Overloaded | NotRunCause::Shed => false,
+                NotRunCause::Disowned
+                | NotRunCause::Overloaded
+                | NotRunCause::Shed
+                | NotRunCause::KeyExpired => false,
             };
             let max_wait_ms = max_wait_ms(now, job.objective, job.deadline);
             if !is_pending || max_wait_ms == 0 {
@@ -302,6 +312,9 @@
         if self.backend.is_closed() || now.plus(MIN_TIME_LEFT_MS) > job.deadline {
             return Err(NotRunCause::Unavailable);
         }
+        if !may_dispatch(now, job.key_valid_until) {
+            return Err(NotRunCause::KeyExpired);
+        }
         let snapshot = self.snapshot.borrow();
         if snapshot.zones_out.contains(&self.zone) {
             return Err(NotRunCause::Unavailable);
@@ -334,11 +347,17 @@
         range.is_some_and(|range| range.owner == owner && range.next_owner.is_none())
     }
 
-    /// Returns the route rule and the service rule of a request, if the configuration has both.
+    /// Returns the route rule, with the priority of the request's tenant if that has one, and the service rule of a
+    /// request, if the configuration has both.
     fn rules(&self, job: &GateJob) -> Option<(RouteRule, ServiceRule)> {
         let snapshot = self.snapshot.borrow();
         let routes = snapshot.routes.as_ref()?;
-        let rule = routes.by_name(&job.route)?.clone();
+        let mut rule = routes.by_name(&job.route)?.clone();
+        let tenant = routes.tenants.as_ref().zip(job.tenant.as_deref());
+        let tenant = tenant.and_then(|(tenants, name)| tenants.find(name));
+        rule.priority = tenant
+            .and_then(|tenant| tenant.priority)
+            .unwrap_or(rule.priority);
         let service = routes.services.get(&job.service)?.clone();
         Some((rule, service))
     }
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -43,6 +43,8 @@
 use crate::forward::NotRunCause;
 use crate::forward::TransferLimits;
 use crate::gate::LocalGate;
+use crate::keys::CheckedKey;
+use crate::keys::KeyChecker;
 use crate::metrics::EdgeMetrics;
 use crate::quota::LocalQuota;
 use crate::quota::QuotaCredit;
@@ -50,8 +52,13 @@
 use crate::refusal;
 use crate::request_log::RequestLog;
 
+mod authentication;
+mod guards;
 mod selection;
 
+use guards::AttemptGuard;
+use guards::DisconnectGuard;
+
 /// Limit on the gates asked for one request. A gate refuses at once if it can't serve a request in time.
 const MAX_GATES_ASKED: usize = 4;
 /// Share of the latency objective after which an unanswered idempotent request is hedged, that is, also sent
@@ -73,6 +80,7 @@
     send_counters: RefCell<BTreeMap<Name, SendCounter>>,
     budget: Cell<BudgetLimits>,
     quota: Rc<LocalQuota>,
+    keys: KeyChecker,
     pool: Rc<ConnectionPool>,
     rng: RefCell<SmallRng>,
     /// Rate at which the agent's link carries one large body, in bytes per millisecond.
@@ -102,6 +110,8 @@
     pub budget: BudgetLimits,
     /// Credit for the requests of tenants.
     pub quota: Rc<LocalQuota>,
+    /// Checks API keys of tenants.
+    pub keys: KeyChecker,
     /// The agent's metrics.
     pub metrics: Rc<EdgeMetrics>,
     /// Makes the feed ask for updates at once.
@@ -129,6 +139,8 @@
     last_failure: &'static str,
     /// Credit of the tenant's quota; `None` if the request needs none.
     credit: Option<QuotaCredit>,
+    /// Key of the tenant; `None` if the request needs none.
+    api_key: Option<CheckedKey>,
 }
 
 /// Report of an ended attempt, with the agent that was asked.
@@ -137,32 +149,6 @@
     report: GateReport,
 }
 
-/// Counts an attempt as ended on drop, so that cancelled attempts are counted too.
-struct AttemptGuard {
-    gateway: Rc<CallerGateway>,
-    node: Name,
-}
-
-impl Drop for AttemptGuard {
-    fn drop(&mut self) {
-        self.gateway.endpoints.borrow_mut().record_ended(&self.node);
-    }
-}
-
-/// Counts a caller that disconnected before its answer, on drop.
-struct DisconnectGuard {
-    metrics: Rc<EdgeMetrics>,
-    is_answered: bool,
-}
-
-impl Drop for DisconnectGuard {
-    fn drop(&mut self) {
-        if !self.is_answered {
-            self.metrics.gone.inc();
-        }
-    }
-}
-
 type Attempts = FuturesUnordered<LocalBoxFuture<'static, AttemptOutcome>>;
 
 impl CallerGateway {
@@ -179,6 +165,7 @@
             send_counters: RefCell::new(BTreeMap::new()),
             budget: Cell::new(parts.budget),
             quota: parts.quota,
+            keys: parts.keys,
             pool: Rc::new(ConnectionPool::new()),
             rng: RefCell::new(SmallRng::from_os_rng()),
             bytes_per_ms: transfer_rate(parts.link_bytes_per_ms) as u64,
@@ -234,10 +221,11 @@
     ///
     /// # Errors
     ///
-    /// Returns the response to the caller if there is no configuration, route, service or request id.
+    /// Returns the response to the caller if there is no configuration, route, service or request id, or if the request
+    /// may not run with its API key.
     fn route_request(
         &self,
-        request: HttpRequest,
+        mut request: HttpRequest,
         received_at: Millis,
     ) -> Result<Box<CallState>, HttpResponse> {
         let caller_headers = headers::read_caller_headers(&request.headers);
@@ -266,6 +254,17 @@
                 "no route has this host and path",
             ));
         };
+        let left_ms = caller_headers
+            .time_left_ms
+            .unwrap_or(u64::MAX)
+            .min(rule.timeout_ms);
+        let deadline = received_at.plus(left_ms);
+        let api_key = self.authenticate(&mut request, &routes, rule, deadline)?;
+        let mut rule = rule.clone();
+        let tenant = api_key.as_ref().map(|key| &key.tenant);
+        rule.priority = tenant
+            .and_then(|tenant| tenant.priority)
+            .unwrap_or(rule.priority);
         let Some(id) = caller_headers.request_id else {
             self.metrics.count(&rule.name, "no-id");
             let reason = "the request has no id; send one in X-Request-Id";
@@ -281,10 +280,6 @@
                 deadline,
             ));
         };
-        let left_ms = caller_headers
-            .time_left_ms
-            .unwrap_or(u64::MAX)
-            .min(rule.timeout_ms);
         let job = GateJob {
             request,
             id,
@@ -292,14 +287,14 @@
             service,
             origin: Name::clone(&self.origin.borrow()),
             key: caller_headers.key,
-            tenant: None,
-            key_valid_until: Millis::MAX,
+            tenant: tenant.map(|tenant| Name::clone(&tenant.name)),
+            key_valid_until: api_key.as_ref().map_or(Millis::MAX, |key| key.valid_until),
             objective: received_at.plus(rule.objective_ms.min(left_ms)),
-            deadline: received_at.plus(left_ms),
+            deadline,
         };
         Ok(Box::new(CallState {
             job,
-            rule: rule.clone(),
+            rule,
             received_at,
             tried: BTreeSet::new(),
             backends_reached: 0,
@@ -309,6 +304,7 @@
             retry_ms: 0,
             last_failure: "no-endpoint",
             credit: None,
+            api_key,
         }))
     }
 
@@ -431,7 +427,7 @@
             let snapshot = self.snapshot.borrow();
             format!(
                 "id={} route={} service={} key={:?} status={status} outcome={outcome_name} last={} \
-                 asked={:?} offered={} elapsed_ms={elapsed_ms} beliefs={} configuration={}",
+                 asked={:?} offered={} elapsed_ms={elapsed_ms} beliefs={} configuration={}{}",
                 call.job.id,
                 call.rule.name,
                 call.job.service,
@@ -441,6 +437,7 @@
                 call.backends_reached,
                 snapshot.revision,
                 snapshot.routes.as_ref().map_or(0, |routes| routes.version),
+                self.key_log_text(now, call),
             )
         });
     }
@@ -500,6 +497,13 @@
                             return failure_response.ok_or(());
                         }
                     }
+                    if cause == NotRunCause::KeyExpired {
+                        if self.renew_key(call) {
+                            call.tried.remove(&node);
+                        } else if attempts.is_empty() {
+                            return failure_response.ok_or(());
+                        }
+                    }
                     if matches!(cause, NotRunCause::NotHolder | NotRunCause::Disowned) {
                         call.tried.remove(&node);
                         self.wait_for_owner_change(call).await;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod forward;
 pub mod gate;
 pub mod gateway;
+pub mod keys;
 pub mod lost_owners;
 pub mod member;
 pub mod metrics;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -45,6 +45,8 @@
     pub instances: Gauge,
     /// Time since the store's last answer, in milliseconds.
     pub store_age_ms: Gauge,
+    /// Age of the proof that there is no newer configuration, in milliseconds.
+    pub configuration_proof_age_ms: Gauge,
     /// Time for which the agent may still grant keys, in milliseconds.
     pub authority_ms: Gauge,
     /// Requests at the gate, queued or running.
@@ -71,6 +73,7 @@
             configuration: Gauge::default(),
             instances: Gauge::default(),
             store_age_ms: Gauge::default(),
+            configuration_proof_age_ms: Gauge::default(),
             authority_ms: Gauge::default(),
             gate_busy: Gauge::default(),
             gate_used_percent: Gauge::default(),
@@ -112,6 +115,11 @@
             "Store's last answer, ms ago",
             self.store_age_ms.clone(),
         );
+        registry.register(
+            "configuration_proof_age_ms",
+            "Proof that nothing newer is in the store, ms ago",
+            self.configuration_proof_age_ms.clone(),
+        );
         registry.register(
             "authority_ms",
             "Leave to grant keys, in ms",
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -17,6 +17,7 @@
 use jy_types::name::Name;
 use jy_types::record::Record;
 use jy_types::routing::RouteTable;
+use jy_types::tenant::TenantTable;
 use jy_types::time::Millis;
 
 use crate::feed::FeedPart;
@@ -265,9 +266,13 @@
             return;
         }
         log::info!(
-            "belief configuration={} before={current} routes={} revision={revision}",
+            "belief configuration={} before={current} routes={} revision={revision} tenants={} api_keys={} \
+             public_routes={}",
             table.version,
-            table.routes.len()
+            table.routes.len(),
+            table.tenants.as_ref().map_or(0, TenantTable::len),
+            table.tenants.as_ref().map_or(0, TenantTable::key_count),
+            table.routes.iter().filter(|rule| rule.public).count(),
         );
         self.routes = Some(Rc::new(table));
     }
--- a/crates/edge/tests/test_feed.rs
+++ b/crates/edge/tests/test_feed.rs
@@ -102,6 +102,7 @@
             replica: Rc::default(),
             proved_until: Rc::default(),
             pool: ConnectionPool::new(),
+            is_revocation_bounded: false,
             avoided: RefCell::default(),
         };
         actix_rt::spawn(async move { feed.run().await });
@@ -199,3 +200,46 @@
     ];
     expect_that!(run(script, "z1").len(), ge(3));
 }
+
+/// Returns the wait of the first watch of operators' records by an agent that is alone in its zone, in milliseconds.
+fn first_watch_ms(is_revocation_bounded: bool) -> Option<u64> {
+    let waits: Rc<RefCell<Vec<u64>>> = Rc::default();
+    let seen = Rc::clone(&waits);
+    let client = StoreClient::with_call(Rc::new(move |_, wait_ms| {
+        let is_watch = wait_ms > 0;
+        seen.borrow_mut().extend(is_watch.then_some(wait_ms));
+        let body = zones(None, 1);
+        Box::pin(async move {
+            if is_watch {
+                std::future::pending::<()>().await;
+            }
+            Ok((200, Bytes::from(body)))
+        })
+    }));
+    actix_rt::System::new().block_on(async move {
+        let feed = RecordFeed {
+            node: "n".into(),
+            zone: "z".into(),
+            store: client,
+            part: FeedPart::Operator,
+            snapshot: Rc::new(watch::Sender::new(Rc::default())),
+            state: Rc::new(watch::Sender::new(FeedState::default())),
+            refresh_requested: Rc::new(Notify::new()),
+            replica: Rc::default(),
+            proved_until: Rc::default(),
+            pool: ConnectionPool::new(),
+            is_revocation_bounded,
+            avoided: RefCell::default(),
+        };
+        let _is_over = timeout(Duration::from_millis(100), feed.run()).await;
+    });
+    waits.take().first().copied()
+}
+
+/// Guards against proofs that are too old for withdrawn API keys in a zone of few agents, and against more calls of the
+/// store in deployments that don't ask for it.
+#[gtest]
+fn run_revocation_bounded_watches_briefly() {
+    expect_that!(first_watch_ms(true), some(le(500)));
+    expect_that!(first_watch_ms(false), some(eq(4_000)));
+}
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -21,6 +21,7 @@
 use jy_edge::gate::LocalGate;
 use jy_edge::gateway::CallerGateway;
 use jy_edge::gateway::GatewayParts;
+use jy_edge::keys::KeyChecker;
 use jy_edge::metrics::EdgeMetrics;
 use jy_edge::quota::LocalQuota;
 use jy_edge::snapshot::FleetSnapshot;
@@ -184,6 +185,7 @@
             window_ms: 10_000,
         },
         quota: Rc::new(LocalQuota::new("own".into(), None)),
+        keys: KeyChecker::new(Rc::default(), None),
         metrics,
         refresh_requested: Rc::new(Notify::new()),
     }))
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -1,6 +1,7 @@
 //! Complete HTTP requests and responses, and functions for their headers.
 
 use std::cell::RefCell;
+use std::fmt;
 
 use actix_http::Method;
 use actix_http::ServiceConfig;
@@ -28,7 +29,7 @@
 const KEEP_ALIVE: &str = "keep-alive";
 
 /// A complete request.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct HttpRequest {
     /// Request method.
     pub method: Method,
@@ -41,7 +42,7 @@
 }
 
 /// A complete response.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct HttpResponse {
     /// Response status.
     pub status: StatusCode,
@@ -51,6 +52,31 @@
     pub body: Bytes,
 }
 
+impl fmt::Debug for HttpRequest {
+    /// Formats the request without the values of its headers and without its body, which may hold credentials.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("HttpRequest")
+            .field("method", &self.method)
+            .field("path", &self.path())
+            .field("header_names", &self.headers.keys().collect::<Vec<_>>())
+            .field("body_bytes", &self.body.len())
+            .finish()
+    }
+}
+
+impl fmt::Debug for HttpResponse {
+    /// Formats the response without the values of its headers and without its body, which may hold records.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("HttpResponse")
+            .field("status", &self.status)
+            .field("header_names", &self.headers.keys().collect::<Vec<_>>())
+            .field("body_bytes", &self.body.len())
+            .finish()
+    }
+}
+
 impl HttpRequest {
     /// Creates a request without headers or body.
     #[must_use]
@@ -113,6 +139,23 @@
     }
 }
 
+/// Sets a header to a name, which may contain characters outside ASCII. They are sent as UTF-8. A name with control
+/// characters is omitted and logged.
+pub fn set_name_header(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    match HeaderValue::from_bytes(value.as_bytes()) {
+        Ok(value) => {
+            headers.insert(HeaderName::from_static(name), value);
+        }
+        Err(error) => log::warn!("header {name} omitted: {error}"),
+    }
+}
+
+/// Returns the name in a header that was set by [`set_name_header`], or none if the header is missing or not UTF-8.
+#[must_use]
+pub fn header_name_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    std::str::from_utf8(headers.get(name)?.as_bytes()).ok()
+}
+
 /// Returns the value of a header, or none if the header is missing or its value is not visible ASCII.
 #[must_use]
 pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
--- a/crates/types/src/record.rs
+++ b/crates/types/src/record.rs
@@ -1,5 +1,7 @@
 //! Store records that every agent replicates, and the layout of their keys.
 
+use std::fmt;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -16,7 +18,9 @@
 pub const CONTROLLER_ALIVE_KEY: &str = "x/controller";
 
 /// One record of the store, with the revision that wrote it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// Its debug output shows no value, since operators' records hold the API keys of tenants.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// Key in the store.
     pub key: Name,
@@ -26,6 +30,31 @@
     pub value: Option<Name>,
 }
 
+impl fmt::Debug for Record {
+    /// Formats the record with the size of its value instead of the value.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let value_bytes = self.value.as_ref().map(|value| value.len());
+        formatter
+            .debug_struct("Record")
+            .field("key", &self.key)
+            .field("revision", &self.revision)
+            .field("value_bytes", &value_bytes)
+            .finish()
+    }
+}
+
+/// Describes the error of a parser of records without the strings that it quotes from the input, which may be API
+/// keys.
+#[must_use]
+pub fn describe_parse_error(error: &serde_json::Error) -> String {
+    let text = error.to_string();
+    // The parser quotes strings of the input between double quotes and uses these nowhere else.
+    match (text.find('"'), text.rfind('"')) {
+        (Some(first), Some(last)) => format!("{}(not shown){}", &text[..first], &text[last + 1..]),
+        _ => text,
+    }
+}
+
 /// Records that bring a replica from one revision to another without gaps.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordBatch {
