edge: operators' records from other agents while the store is out of reach

Cause: with bounds.revoke_ms an agent refuses requests with keys 4.5 s after its last proof. An instance that alone is cut off from the store for 9 to 12 s would refuse them for seconds, although other agents have a proof.

Change: where the settings have revoke_ms, an agent that can't read the store asks an agent that reads it for its zone for the operators' records and their proof; the first time for all records, since the watch that was cut may have missed changes.

Not run with real processes.

--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -24,6 +24,7 @@
 use jy_platform::store::Result;
 use jy_platform::store::StoreClient;
 use jy_platform::store::StoreError;
+use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
 use jy_types::record::Record;
 use jy_types::record::RecordBatch;
@@ -195,6 +196,8 @@
     pub async fn run(&self) {
         let mut retry_delay_ms = MIN_RETRY_DELAY_MS;
         let mut is_listed = false;
+        // Whether all records were read from an agent since the store's last answer.
+        let mut is_relisted = false;
         loop {
             if is_listed {
                 match self.read_from_agent().await {
@@ -211,6 +214,7 @@
                 self.list().await
             };
             let now = clock::now();
+            is_relisted &= result.is_err();
             match result {
                 Ok(has_updates) => {
                     is_listed = true;
@@ -239,6 +243,7 @@
                     // again.
                     is_listed = false;
                     record_failure(&self.state, now, &error);
+                    is_relisted |= self.read_while_cut_off(is_relisted).await;
                 }
             }
             sleep(Duration::from_millis(retry_delay_ms)).await;
@@ -259,15 +264,80 @@
         if self.part == FeedPart::Operator && is_small_zone {
             return RelayOutcome::UseStore;
         }
-        let is_avoided = |node: &Name| {
-            let avoided = self.avoided.borrow();
-            avoided.get(node).is_some_and(|until| now < *until)
-        };
-        let preferred = readers.iter().find(|reader| !is_avoided(&reader.node));
+        let preferred = readers
+            .iter()
+            .find(|reader| !self.is_avoided(now, &reader.node));
         let Some(reader) = preferred.filter(|reader| reader.node != self.node) else {
             return RelayOutcome::UseStore;
         };
-        let is_fresh = match self.request_changes(reader.gate).await {
+        if self.read_from(reader, self.revision()).await {
+            return RelayOutcome::Fresh;
+        }
+        log::info!(
+            "belief no fresh records with prefix {} from instance={} proof_age_ms={}",
+            self.part.prefix(),
+            reader.node,
+            clock::now().since(self.proved_until.get())
+        );
+        RelayOutcome::Stale
+    }
+
+    /// Reads the records of operators from an agent of any zone that may still reach the store, if withdrawn API keys
+    /// must be refused in time. Without a proof, requests with keys would be refused while only this agent is cut off.
+    /// Reads all records unless `is_relisted`, since the watch that was cut may have missed changes. Returns whether
+    /// the records are fresh.
+    async fn read_while_cut_off(&self, is_relisted: bool) -> bool {
+        if self.part != FeedPart::Operator || !self.is_revocation_bounded {
+            return false;
+        }
+        let now = clock::now();
+        let reader = {
+            let snapshot = self.snapshot.borrow();
+            let mut readers = snapshot.readers(&self.zone).into_iter();
+            let is_usable = |reader: &Rc<InstanceRecord>| {
+                reader.node != self.node && !self.is_avoided(now, &reader.node)
+            };
+            readers.find(is_usable).or_else(|| {
+                let other_zones = snapshot
+                    .zones()
+                    .into_iter()
+                    .filter(|zone| *zone != self.zone);
+                let mut readers = other_zones.flat_map(|zone| snapshot.readers(&zone));
+                readers.find(is_usable)
+            })
+        };
+        let Some(reader) = reader else {
+            return false;
+        };
+        let age_ms = now.since(self.proved_until.get());
+        let after = if is_relisted { self.revision() } else { 0 };
+        let is_fresh = self.read_from(&reader, after).await;
+        if is_fresh && age_ms > MAX_PROOF_AGE_MS {
+            log::info!(
+                "belief operators' records read without the store from instance={} proof_age_ms={} before={age_ms}",
+                reader.node,
+                clock::now().since(self.proved_until.get())
+            );
+        }
+        is_fresh
+    }
+
+    /// Returns the revision up to which the replica is complete.
+    fn revision(&self) -> u64 {
+        self.replica.borrow().complete_to()
+    }
+
+    /// Whether an agent is not to be asked for records now.
+    fn is_avoided(&self, now: Millis, node: &Name) -> bool {
+        let avoided = self.avoided.borrow();
+        avoided.get(node).is_some_and(|until| now < *until)
+    }
+
+    /// Reads the records that changed after a revision from another agent. Returns whether they are fresh; if not, the
+    /// agent is avoided for a while.
+    async fn read_from(&self, reader: &InstanceRecord, after: u64) -> bool {
+        let now = clock::now();
+        let is_fresh = match self.request_changes(reader.gate, after).await {
             Some(response) => {
                 let proved_until = now.plus(response.waited_ms).minus(response.proof_age_ms);
                 self.apply_batch(response.batch, false);
@@ -278,20 +348,12 @@
             }
             None => false,
         };
-        if is_fresh {
-            return RelayOutcome::Fresh;
+        if !is_fresh {
+            let until = clock::now().plus(self.part.avoid_ms());
+            let mut avoided = self.avoided.borrow_mut();
+            avoided.insert(Name::clone(&reader.node), until);
         }
-        let now = clock::now();
-        log::info!(
-            "belief no fresh records with prefix {} from instance={} proof_age_ms={}",
-            self.part.prefix(),
-            reader.node,
-            now.since(self.proved_until.get())
-        );
-        let until = now.plus(self.part.avoid_ms());
-        let mut avoided = self.avoided.borrow_mut();
-        avoided.insert(Name::clone(&reader.node), until);
-        RelayOutcome::Stale
+        is_fresh
     }
 
     /// Longest wait of a watch on the store, in milliseconds.
@@ -304,9 +366,8 @@
         }
     }
 
-    /// Requests the changes since the replica's revision from another agent.
-    async fn request_changes(&self, to: SocketAddr) -> Option<RelayResponse> {
-        let after = self.replica.borrow().complete_to();
+    /// Requests the changes after a revision from another agent.
+    async fn request_changes(&self, to: SocketAddr, after: u64) -> Option<RelayResponse> {
         let target = format!("{}?after={after}", self.part.path());
         let request = HttpRequest::new(Method::GET, &target).with_header("host", "fleet");
         let options = SendOptions {
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -188,6 +188,13 @@
             .collect()
     }
 
+    /// Returns the availability zones of all agents.
+    #[must_use]
+    pub fn zones(&self) -> BTreeSet<Name> {
+        let zone_of = |observed: &ObservedInstance| Name::clone(&observed.record.zone);
+        self.instances.values().map(zone_of).collect()
+    }
+
     /// Returns the number of agents of an availability zone whose records are in the store.
     #[must_use]
     pub fn agents_in_zone(&self, zone: &str) -> usize {
--- a/crates/edge/tests/test_feed.rs
+++ b/crates/edge/tests/test_feed.rs
@@ -61,6 +61,20 @@
     reader_answer: Option<&'static str>,
     script: Script,
     zone: &'static str,
+) -> Vec<String> {
+    run_bounded(false, reader_answer, script, zone)
+}
+
+/// Does the same as [`run_with_reader`], with or without a limit on the time to refuse withdrawn API keys.
+///
+/// # Panics
+///
+/// Panics if a call is not the scripted one, or if the zone is not taken out in time.
+fn run_bounded(
+    is_revocation_bounded: bool,
+    reader_answer: Option<&'static str>,
+    script: Script,
+    zone: &'static str,
 ) -> Vec<String> {
     let called: Rc<RefCell<Vec<String>>> = Rc::default();
     let script = RefCell::new(script.into_iter());
@@ -102,7 +116,7 @@
             replica: Rc::default(),
             proved_until: Rc::default(),
             pool: ConnectionPool::new(),
-            is_revocation_bounded: false,
+            is_revocation_bounded,
             avoided: RefCell::default(),
         };
         actix_rt::spawn(async move { feed.run().await });
@@ -181,6 +195,26 @@
     expect_that!(run_with_reader(Some(fresh), script, "z1").len(), eq(1));
 }
 
+/// Guards against instances that refuse all requests with keys while only they are cut off from the store. Their lapsed
+/// proof is renewed by another agent, and they still try the store.
+#[gtest]
+fn run_cut_off_with_revocation_bound_reads_from_agent() {
+    let fresh = r#"{"batch":{"records":[{"key":"op/evacuate/z1","revision":6,"value":"{}"}],"complete_to":6},"waited_ms":0,"proof_age_ms":10}"#;
+    let script: Script = vec![("/kv-range", None), ("/kv-range", None)];
+    expect_that!(run_bounded(true, Some(fresh), script, "z1").len(), eq(1));
+    let script: Script = vec![
+        ("/kv-range", None),
+        ("/kv-range", Some((200, zones(Some("z2"), 7)))),
+    ];
+    expect_that!(run_bounded(true, Some(fresh), script, "z2").len(), eq(2));
+    let script: Script = vec![
+        ("/kv-range", None),
+        ("/kv-range", Some((200, zones(Some("z1"), 7)))),
+    ];
+    let calls = run_bounded(false, Some(fresh), script, "z1");
+    expect_that!(calls.len(), eq(2), "only where the settings ask for it");
+}
+
 #[gtest]
 fn run_cut_watch_lists_again() {
     let script: Script = vec![
