--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -17,6 +17,7 @@
 use jy_types::name::Name;
 use jy_types::record::Record;
 use jy_types::routing::RouteTable;
+use jy_types::tenant::TenantTable;
 use jy_types::time::Millis;
 
 use crate::feed::FeedPart;
@@ -187,6 +188,13 @@
             .collect()
     }
 
+    /// Returns the availability zones of all agents.
+    #[must_use]
+    pub fn zones(&self) -> BTreeSet<Name> {
+        let zone_of = |observed: &ObservedInstance| Name::clone(&observed.record.zone);
+        self.instances.values().map(zone_of).collect()
+    }
+
     /// Returns the number of agents of an availability zone whose records are in the store.
     #[must_use]
     pub fn agents_in_zone(&self, zone: &str) -> usize {
@@ -265,9 +273,13 @@
             return;
         }
         log::info!(
-            "belief configuration={} before={current} routes={} revision={revision}",
+            "belief configuration={} before={current} routes={} revision={revision} tenants={} api_keys={} \
+             public_routes={}",
             table.version,
-            table.routes.len()
+            table.routes.len(),
+            table.tenants.as_ref().map_or(0, TenantTable::len),
+            table.tenants.as_ref().map_or(0, TenantTable::key_count),
+            table.routes.iter().filter(|rule| rule.public).count(),
         );
         self.routes = Some(Rc::new(table));
     }
--- a/crates/edge/tests/test_feed.rs
+++ b/crates/edge/tests/test_feed.rs
@@ -61,6 +61,20 @@
     reader_answer: Option<&'static str>,
     script: Script,
     zone: &'static str,
+) -> Vec<String> {
+    run_bounded(false, reader_answer, script, zone)
+}
+
+/// Does the same as [`run_with_reader`], with or without a limit on the time to refuse withdrawn API keys.
+///
+/// # Panics
+///
+/// Panics if a call is not the scripted one, or if the zone is not taken out in time.
+fn run_bounded(
+    is_revocation_bounded: bool,
+    reader_answer: Option<&'static str>,
+    script: Script,
+    zone: &'static str,
 ) -> Vec<String> {
     let called: Rc<RefCell<Vec<String>>> = Rc::default();
     let script = RefCell::new(script.into_iter());
@@ -102,6 +116,7 @@
             replica: Rc::default(),
             proved_until: Rc::default(),
             pool: ConnectionPool::new(),
+            is_revocation_bounded,
             avoided: RefCell::default(),
         };
         actix_rt::spawn(async move { feed.run().await });
@@ -180,6 +195,26 @@
     expect_that!(run_with_reader(Some(fresh), script, "z1").len(), eq(1));
 }
 
+/// Guards against instances that refuse all requests with keys while only they are cut off from the store. Their lapsed
+/// proof is renewed by another agent, and they still try the store.
+#[gtest]
+fn run_cut_off_with_revocation_bound_reads_from_agent() {
+    let fresh = r#"{"batch":{"records":[{"key":"op/evacuate/z1","revision":6,"value":"{}"}],"complete_to":6},"waited_ms":0,"proof_age_ms":10}"#;
+    let script: Script = vec![("/kv-range", None), ("/kv-range", None)];
+    expect_that!(run_bounded(true, Some(fresh), script, "z1").len(), eq(1));
+    let script: Script = vec![
+        ("/kv-range", None),
+        ("/kv-range", Some((200, zones(Some("z2"), 7)))),
+    ];
+    expect_that!(run_bounded(true, Some(fresh), script, "z2").len(), eq(2));
+    let script: Script = vec![
+        ("/kv-range", None),
+        ("/kv-range", Some((200, zones(Some("z1"), 7)))),
+    ];
+    let calls = run_bounded(false, Some(fresh), script, "z1");
+    expect_that!(calls.len(), eq(2), "only where the settings ask for it");
+}
+
 #[gtest]
 fn run_cut_watch_lists_again() {
     let script: Script = vec![
@@ -199,3 +234,46 @@
     ];
     expect_that!(run(script, "z1").len(), ge(3));
 }
+
+/// Returns the wait of the first watch of operators' records by an agent that is alone in its zone, in milliseconds.
+fn first_watch_ms(is_revocation_bounded: bool) -> Option<u64> {
+    let waits: Rc<RefCell<Vec<u64>>> = Rc::default();
+    let seen = Rc::clone(&waits);
+    let client = StoreClient::with_call(Rc::new(move |_, wait_ms| {
+        let is_watch = wait_ms > 0;
+        seen.borrow_mut().extend(is_watch.then_some(wait_ms));
+        let body = zones(None, 1);
+        Box::pin(async move {
+            if is_watch {
+                std::future::pending::<()>().await;
+            }
+            Ok((200, Bytes::from(body)))
+        })
+    }));
+    actix_rt::System::new().block_on(async move {
+        let feed = RecordFeed {
+            node: "n".into(),
+            zone: "z".into(),
+            store: client,
+            part: FeedPart::Operator,
+            snapshot: Rc::new(watch::Sender::new(Rc::default())),
+            state: Rc::new(watch::Sender::new(FeedState::default())),
+            refresh_requested: Rc::new(Notify::new()),
+            replica: Rc::default(),
+            proved_until: Rc::default(),
+            pool: ConnectionPool::new(),
+            is_revocation_bounded,
+            avoided: RefCell::default(),
+        };
+        let _is_over = timeout(Duration::from_millis(100), feed.run()).await;
+    });
+    waits.take().first().copied()
+}
+
+/// Guards against proofs that are too old for withdrawn API keys in a zone of few agents, and against more calls of the
+/// store in deployments that don't ask for it.
+#[gtest]
+fn run_revocation_bounded_watches_briefly() {
+    expect_that!(first_watch_ms(true), some(le(500)));
+    expect_that!(first_watch_ms(false), some(eq(4_000)));
+}
