edge: wait for running attempts before a request is given up

Cause: an attempt that was shed, or failed, without budget for another one ended the request while a hedge was running. The caller got 503, which says that the request has not run, although the hedge may run it.

Change: when no further attempt may start, the running ones decide. A backend server's failure is kept and given out at the time limit if nothing better came.

Result: serve_shed_beside_hedge_waits_for_hedge failed with 503 and passes; the tests of jy-edge pass.

--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -135,6 +135,8 @@
     has_unknown_outcome: bool,
     /// Longest retry delay seen so far, in milliseconds.
     retry_ms: u64,
+    /// Last response of a backend server at which the request failed, given to the caller if no other comes.
+    failure_response: Option<HttpResponse>,
     /// Name of the last failure, for the response and the log.
     last_failure: &'static str,
     /// Credit of the tenant's quota; `None` if the request needs none.
@@ -302,6 +304,7 @@
             in_flight: 0,
             has_unknown_outcome: false,
             retry_ms: 0,
+            failure_response: None,
             last_failure: "no-endpoint",
             credit: None,
             api_key,
@@ -378,6 +381,11 @@
         };
         let now = clock::now();
         let is_sent = call.has_unknown_outcome || call.in_flight > 0;
+        // A response that a backend server has given is better than one of the agent's own.
+        let result = match (result, call.failure_response.take()) {
+            (None | Some(Err(_)), Some(response)) => Some(Ok(Ok(response))),
+            (result, _) => result,
+        };
         let Some(result) = result else {
             let reason = "the agent is shutting down";
             let response = if is_sent {
@@ -442,22 +450,26 @@
         });
     }
 
-    /// Tries agents until one answers or none is left.
+    /// Tries agents until one answers or none is left. If a failed attempt may not be followed by another one, the
+    /// attempts that are still running decide.
     ///
     /// # Errors
     ///
     /// Returns an error if no attempt gives an answer. `call` then says whether the request may have run.
     async fn run_attempts(self: &Rc<Self>, call: &mut CallState) -> Result<HttpResponse, ()> {
         let mut attempts = Attempts::new();
-        let mut failure_response: Option<HttpResponse> = None;
         let is_keyed = self.is_keyed(&call.job.service);
         let hedge_ms = (call.rule.objective_ms as f64 * HEDGE_DELAY_SHARE) as u64;
         // Only idempotent requests to services that are not divided by key are hedged.
         let mut is_hedged = !call.rule.idempotent || is_keyed;
+        let mut may_start = true;
         loop {
             if attempts.is_empty() {
+                if !may_start {
+                    return call.failure_response.take().ok_or(());
+                }
                 let Some(node) = self.next_node(call, is_keyed).await else {
-                    return failure_response.ok_or(());
+                    return call.failure_response.take().ok_or(());
                 };
                 self.start_attempt(call, node, &attempts);
             }
@@ -465,7 +477,7 @@
             let ended = tokio::select! {
                 biased;
                 ended = attempts.next() => ended,
-                () = sleep(hedge_wait), if !is_hedged => {
+                () = sleep(hedge_wait), if !is_hedged && may_start => {
                     is_hedged = true;
                     if let Some(node) = self.pick_hedge_node(call) {
                         self.start_attempt(call, node, &attempts);
@@ -482,29 +494,26 @@
                 GateOutcome::Answered(response) => {
                     call.backends_reached += 1;
                     let is_failure = response.status.is_server_error();
-                    if !is_failure || !self.may_resend(call) {
+                    if !is_failure {
                         return Ok(response);
                     }
+                    may_start = may_start && self.may_resend(call);
                     call.last_failure = "backend-failed";
-                    failure_response = Some(response);
+                    call.failure_response = Some(response);
                 }
                 GateOutcome::NotRun { cause, retry_ms } => {
                     call.last_failure = cause.name();
                     call.retry_ms = call.retry_ms.max(retry_ms);
                     if cause.reached_backend() {
                         call.backends_reached += 1;
-                        if !self.may_resend_not_run(call) {
-                            return failure_response.ok_or(());
-                        }
+                        may_start = may_start && self.may_resend_not_run(call);
                     }
                     if cause == NotRunCause::KeyExpired {
-                        if self.renew_key(call) {
-                            call.tried.remove(&node);
-                        } else if attempts.is_empty() {
-                            return failure_response.ok_or(());
-                        }
+                        may_start = may_start && self.renew_key(call);
+                        call.tried.remove(&node);
                     }
-                    if matches!(cause, NotRunCause::NotHolder | NotRunCause::Disowned) {
+                    let is_moving = matches!(cause, NotRunCause::NotHolder | NotRunCause::Disowned);
+                    if is_moving && may_start {
                         call.tried.remove(&node);
                         self.wait_for_owner_change(call).await;
                     }
@@ -517,9 +526,7 @@
                         "request={} outcome unknown at {node}: {reason}",
                         call.job.id
                     );
-                    if !self.may_resend(call) && attempts.is_empty() {
-                        return failure_response.ok_or(());
-                    }
+                    may_start = may_start && self.may_resend(call);
                 }
             }
         }
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -160,6 +160,11 @@
 
 /// Builds a gateway with the given snapshot and no backend server beside it.
 fn gateway(snapshot: FleetSnapshot) -> Rc<CallerGateway> {
+    gateway_with_slack(snapshot, 50.0)
+}
+
+/// Creates a gateway whose fleet may make `slack` extra sends beyond a share of the requests.
+fn gateway_with_slack(snapshot: FleetSnapshot, slack: f64) -> Rc<CallerGateway> {
     let snapshot: Rc<SnapshotSender> = Rc::new(watch::Sender::new(Rc::new(snapshot)));
     let metrics = Rc::new(EdgeMetrics::new());
     let backend = Rc::new(LocalBackend::new("own".into(), Millis(0), 10_000, 1_000));
@@ -181,7 +186,7 @@
         link_bytes_per_ms: LINK_BYTES_PER_MS,
         budget: BudgetLimits {
             ratio: 0.2,
-            slack: 50.0,
+            slack,
             window_ms: 10_000,
         },
         quota: Rc::new(LocalQuota::new("own".into(), None)),
@@ -433,3 +438,54 @@
     remove_peer_headers(&mut request.headers);
     expect_that!(is_forwarded(&request), eq(false));
 }
+
+/// Serves a gate that answers each request with `outcome` after `delay_ms` milliseconds.
+async fn serve_slow_gate(delay_ms: u64, outcome: GateOutcome) -> SocketAddr {
+    serve_gate(Rc::new(move |_, _| {
+        let outcome = outcome.clone();
+        Box::pin(async move {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            encode_report(GateReport {
+                outcome,
+                load: None,
+            })
+        })
+    }))
+    .await
+}
+
+/// Guards against a refusal that says "not run" while a hedge of the request is still running: the first backend
+/// server shed the request, and the budget of extra sends was used up.
+#[gtest]
+fn serve_shed_beside_hedge_waits_for_hedge() {
+    let response = actix_rt::System::new().block_on(async {
+        let shed = GateOutcome::NotRun {
+            cause: NotRunCause::Shed,
+            retry_ms: 0,
+        };
+        let mut gates = Vec::new();
+        for outcome in [shed, answered()] {
+            // Whichever gate is asked first, the other one is asked 120 ms later and ends later.
+            let is_answer = matches!(outcome, GateOutcome::Answered(_));
+            let delay_ms = if is_answer { 700 } else { 300 };
+            gates.push(serve_slow_gate(delay_ms, outcome).await);
+        }
+        let mut routes = routes(false, true);
+        routes.routes[0].objective_ms = 200;
+        let mut snapshot = snapshot(routes, gates[0], None);
+        let mut second = snapshot.instances["other"].clone();
+        let mut record = (*second.record).clone();
+        record.node = "second".into();
+        record.gate = gates[1];
+        second.record = Rc::new(record);
+        snapshot.instances.insert("second".into(), second);
+        // With two agents this allows one hedge and no retry after it.
+        let gateway = gateway_with_slack(snapshot, 7.0);
+        let request = HttpRequest::new(Method::GET, "/p/x")
+            .with_header("host", "h.example")
+            .with_header("x-request-id", "r1")
+            .with_header("x-deadline-ms", "3000");
+        gateway.serve(request, clock::now()).await
+    });
+    expect_that!(response.status, eq(StatusCode::OK));
+}
