policy, edge: share the gate among tenants

Cause: a tenant that sends many times its usual load displaced the requests of all others, and requests of low priority were never served while more urgent ones filled the capacity.

Change: within one priority, requests of tenants above their share of the recently started work go after the others. A tenant earns credit with each request that it offers and uses it for requests that would be refused, so that its share of requests served stays above a quarter of that of all. Calls of running requests get a class of their own before all priorities; the gate doesn't mark them yet. A tenant's priority replaces its route's. Requests without a tenant keep their order.

Result: tests of jy-policy and jy-edge pass.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -236,6 +236,8 @@
             state.offered_work.add(now, job.key.map(bucket_of), work_ms);
         }
         let admission_request = AdmissionRequest {
+            tenant: job.tenant.clone(),
+            is_call: false,
             priority: rule.priority,
             objective: job.objective,
             deadline: job.deadline,
@@ -334,11 +336,18 @@
         range.is_some_and(|range| range.owner == owner && range.next_owner.is_none())
     }
 
-    /// Returns the route rule and the service rule of a request, if the configuration has both.
+    /// Returns the route rule and the service rule of a request, if the configuration has both. The tenant's
+    /// priority, if it has one, replaces that of the route.
     fn rules(&self, job: &GateJob) -> Option<(RouteRule, ServiceRule)> {
         let snapshot = self.snapshot.borrow();
         let routes = snapshot.routes.as_ref()?;
-        let rule = routes.by_name(&job.route)?.clone();
+        let mut rule = routes.by_name(&job.route)?.clone();
+        let tenants = routes.tenants.as_ref();
+        let tenant = job.tenant.as_deref().zip(tenants);
+        let tenant = tenant.and_then(|(name, tenants)| tenants.find(name));
+        rule.priority = tenant
+            .and_then(|tenant| tenant.priority)
+            .unwrap_or(rule.priority);
         let service = routes.services.get(&job.service)?.clone();
         Some((rule, service))
     }
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -2,14 +2,17 @@
 //!
 //! Requests wait in this queue instead of at the backend server, the most urgent first. A request that
 //! would not finish by its deadline is refused at once. Calls made by running requests take precedence
-//! over new work, since refusing such a call wastes the run that made it.
+//! over new work, since refusing such a call wastes the run that made it. Tenants of one priority share the
+//! capacity, and those of a low priority are not starved (see [`crate::shares`]).
 
 use std::collections::BTreeMap;
 
+use jy_types::name::Name;
 use jy_types::time::Millis;
 
 use crate::offered::OfferedWork;
 use crate::service_time::ServiceTimeMean;
+use crate::shares::TenantShares;
 
 /// Safety factor on the mean service time when the latest start of a request is computed.
 const WORK_MARGIN: f64 = 1.3;
@@ -22,9 +25,13 @@
 const MIN_REMAINING_SHARE: f64 = 0.25;
 
 /// Properties of a request that asks for admission.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AdmissionRequest {
-    /// Priority class; zero is the most urgent.
+    /// Tenant that sent the request; `None` for calls of running requests and for requests that need no key.
+    pub tenant: Option<Name>,
+    /// Whether a running request made this call. Calls go before new work of any priority.
+    pub is_call: bool,
+    /// Priority; zero is the most urgent.
     pub priority: u32,
     /// An answer after this point is late.
     pub objective: Millis,
@@ -59,13 +66,41 @@
 #[derive(Clone, Debug)]
 pub struct WorkQueue {
     slots: u32,
-    /// Recently offered work by priority class.
+    /// Recently offered work by class.
     offered: BTreeMap<u32, ClassWork>,
-    waiting: BTreeMap<u64, AdmissionRequest>,
+    /// Waiting requests, most often in order of rank: sorting them again then takes linear time.
+    waiting: Vec<WaitingWork>,
     running: BTreeMap<u64, RunningWork>,
+    shares: TenantShares,
 }
 
-/// Recently offered work of one priority class.
+/// A waiting request.
+#[derive(Clone, Debug)]
+struct WaitingWork {
+    request: AdmissionRequest,
+    ticket: u64,
+    /// Class of the request, or the class of more urgent requests among which it is protected.
+    class: u32,
+    /// Id of its tenant in the shares.
+    tenant: Option<u32>,
+    /// Whether the request goes before others because its tenant is starved.
+    is_protected: bool,
+    rank: WorkRank,
+}
+
+/// Position in the order in which requests run: by class, then those that can still meet their objective, then
+/// by how far their tenants exceed their shares, then by objective.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct WorkRank {
+    class: u32,
+    is_unprotected: bool,
+    is_late: bool,
+    level: u8,
+    due: Millis,
+    ticket: u64,
+}
+
+/// Recently offered work of one class.
 #[derive(Clone, Debug, Default)]
 struct ClassWork {
     offered: OfferedWork,
@@ -76,7 +111,7 @@
 #[derive(Clone, Copy, Debug)]
 struct RunningWork {
     started: Millis,
-    priority: u32,
+    class: u32,
     work_ms: f64,
 }
 
@@ -87,8 +122,9 @@
         Self {
             slots: slots.max(1),
             offered: BTreeMap::new(),
-            waiting: BTreeMap::new(),
+            waiting: Vec::new(),
             running: BTreeMap::new(),
+            shares: TenantShares::new(),
         }
     }
 
@@ -111,103 +147,171 @@
 
     /// Queues a request, or refuses it if the requests ahead of it leave it too little time.
     pub fn offer(&mut self, now: Millis, ticket: u64, request: AdmissionRequest) -> Admission {
-        let class = self.offered.entry(request.priority).or_default();
-        class.offered.add(now, None, request.work_ms);
-        class.mean.observe(request.work_ms);
-        let rank = rank(now, ticket, &request);
-        let ahead_ms: f64 = self
-            .waiting
-            .iter()
-            .filter(|(other, waiting)| self::rank(now, **other, waiting) < rank)
-            .map(|(_, waiting)| waiting.work_ms)
-            .sum();
-        let wait_ms = self.wait_ms(now, &request, ahead_ms);
-        if wait_ms > 0.0 && wait_ms > self.max_wait_ms(now, &request) {
-            let retry_ms = wait_ms as u64;
-            return Admission::Refused { retry_ms };
+        let class = class_of(&request);
+        let class_work = self.offered.entry(class).or_default();
+        class_work.offered.add(now, None, request.work_ms);
+        class_work.mean.observe(request.work_ms);
+        let tenant = if request.is_call {
+            None
+        } else {
+            let tenant = request.tenant.as_ref();
+            self.shares.record_offered(now, self.slots, class, tenant)
+        };
+        let mut work = WaitingWork {
+            request,
+            ticket,
+            class,
+            tenant,
+            is_protected: false,
+            rank: WorkRank::default(),
+        };
+        let wait_ms = self.rank_and_wait_ms(now, &mut work);
+        if self.is_wait_useful(now, &work, wait_ms) || self.protect_in_time(now, &mut work) {
+            self.waiting.push(work);
+            return Admission::Queued;
         }
-        self.waiting.insert(ticket, request);
-        Admission::Queued
+        let retry_ms = wait_ms as u64;
+        Admission::Refused { retry_ms }
     }
 
     /// Removes the waiting requests that would be refused if they were offered now, and returns their tickets.
     ///
     /// Requests that came after them have a better rank, so that they would wait until their deadline.
     pub fn refuse_late(&mut self, now: Millis) -> Vec<u64> {
-        let mut ranked: Vec<(u64, AdmissionRequest)> = self
-            .waiting
-            .iter()
-            .map(|(ticket, request)| (*ticket, *request))
-            .collect();
-        ranked.sort_by_key(|(ticket, request)| rank(now, *ticket, request));
+        let mut waiting = std::mem::take(&mut self.waiting);
+        for work in &mut waiting {
+            work.rank = self.rank(now, work);
+        }
+        waiting.sort_by_key(|work| work.rank);
+        let remaining_ms = self.remaining_ms(now);
         let mut ahead_ms = 0.0;
         let mut refused = Vec::new();
-        for (ticket, request) in ranked {
-            let wait_ms = self.wait_ms(now, &request, ahead_ms);
-            if ahead_ms > 0.0 && wait_ms > self.max_wait_ms(now, &request) {
-                self.waiting.remove(&ticket);
-                refused.push(ticket);
-            } else {
-                ahead_ms += request.work_ms;
+        waiting.retain_mut(|work| {
+            let wait_ms = self.wait_ms(now, work, ahead_ms, remaining_ms);
+            if ahead_ms <= 0.0 || self.is_wait_useful(now, work, wait_ms) || self.protect(now, work)
+            {
+                ahead_ms += work.request.work_ms;
+                return true;
             }
-        }
+            refused.push(work.ticket);
+            false
+        });
+        self.waiting = waiting;
         refused
     }
 
     /// Moves the next waiting request to the running ones if a slot is free for it, and returns its ticket.
     pub fn start(&mut self, now: Millis) -> Option<u64> {
-        let (ticket, request) = self
-            .waiting
-            .iter()
-            .min_by_key(|(ticket, request)| rank(now, **ticket, request))?;
-        if self.free_slots(now, request) == 0 {
+        let ranks = self.waiting.iter().map(|work| self.rank(now, work));
+        let (index, _) = ranks.enumerate().min_by_key(|(_, rank)| *rank)?;
+        let next = self.waiting.get(index)?;
+        if self.free_slots(now, next) == 0 {
             return None;
         }
-        let (ticket, priority, work_ms) = (*ticket, request.priority, request.work_ms);
-        self.waiting.remove(&ticket);
-        let started = now;
+        let work = self.waiting.remove(index);
+        let work_ms = work.request.work_ms;
+        if !work.request.is_call {
+            self.shares
+                .record_started(now, work.tenant, work_ms, work.is_protected);
+        }
         self.running.insert(
-            ticket,
+            work.ticket,
             RunningWork {
-                started,
-                priority,
+                started: now,
+                class: work.class,
                 work_ms,
             },
         );
-        Some(ticket)
+        Some(work.ticket)
+    }
+
+    /// Returns the position of a request in the order in which requests run.
+    fn rank(&self, now: Millis, work: &WaitingWork) -> WorkRank {
+        let request = &work.request;
+        WorkRank {
+            class: work.class,
+            is_unprotected: !work.is_protected,
+            is_late: now.plus(request.work_ms as u64) > request.objective,
+            level: self.shares.level(work.tenant),
+            due: request.objective,
+            ticket: work.ticket,
+        }
+    }
+
+    /// Sets the rank of a request that is not queued yet, and returns its expected wait in milliseconds.
+    fn rank_and_wait_ms(&self, now: Millis, work: &mut WaitingWork) -> f64 {
+        work.rank = self.rank(now, work);
+        let ahead = self
+            .waiting
+            .iter()
+            .filter(|other| self.rank(now, other) < work.rank);
+        let ahead_ms = ahead.map(|other| other.request.work_ms).sum();
+        self.wait_ms(now, work, ahead_ms, self.remaining_ms(now))
+    }
+
+    /// Whether a request may wait for the given time.
+    fn is_wait_useful(&self, now: Millis, work: &WaitingWork, wait_ms: f64) -> bool {
+        wait_ms <= 0.0 || wait_ms <= self.max_wait_ms(now, work)
+    }
+
+    /// Lets a request that would be refused go before others if its tenant is starved and the request is then
+    /// served before its deadline. Returns whether it is.
+    fn protect_in_time(&mut self, now: Millis, work: &mut WaitingWork) -> bool {
+        if !self.protect(now, work) {
+            return false;
+        }
+        let wait_ms = self.rank_and_wait_ms(now, work);
+        let is_in_time = self.is_wait_useful(now, work, wait_ms);
+        if !is_in_time {
+            self.shares.return_credit(work.tenant);
+        }
+        is_in_time
+    }
+
+    /// Lets a request that would be refused go before others if its tenant is starved. Returns whether it is.
+    fn protect(&mut self, now: Millis, work: &mut WaitingWork) -> bool {
+        let is_in_time = slack_ms(now, work.request.deadline, &work.request) > 0.0;
+        if work.is_protected || !is_in_time || !self.shares.take_credit(work.tenant) {
+            return false;
+        }
+        work.is_protected = true;
+        work.class = self.shares.most_urgent_class(now, work.class);
+        true
     }
 
     /// Returns the longest useful wait of a request, in milliseconds.
     ///
     /// A request may wait until the latest start that meets its objective, or for a small share of the time
-    /// until the latest start that meets its deadline, whichever is longer. Brief urgent work may wait until
-    /// the latest start that meets its deadline.
-    fn max_wait_ms(&self, now: Millis, request: &AdmissionRequest) -> f64 {
-        let padded_work_ms = request.work_ms * WORK_MARGIN;
-        let slack_ms = |end: Millis| end.since(now) as f64 - padded_work_ms;
-        let mut lower_classes = self.offered.range(request.priority.saturating_add(1)..);
-        if lower_classes
-            .any(|(_, class)| request.work_ms <= class.mean.mean_ms(0.0) * BRIEF_WORK_RATIO)
+    /// until the latest start that meets its deadline, whichever is longer. Calls, brief urgent work and requests
+    /// of starved tenants may wait until the latest start that meets the deadline.
+    fn max_wait_ms(&self, now: Millis, work: &WaitingWork) -> f64 {
+        let request = &work.request;
+        let until_deadline_ms = slack_ms(now, request.deadline, request);
+        let mut lower_classes = self.offered.range(work.class.saturating_add(1)..);
+        if request.is_call
+            || work.is_protected
+            || lower_classes
+                .any(|(_, class)| request.work_ms <= class.mean.mean_ms(0.0) * BRIEF_WORK_RATIO)
         {
-            return slack_ms(request.deadline);
+            return until_deadline_ms;
         }
-        let on_time = slack_ms(request.objective.min(request.deadline));
-        on_time.max(slack_ms(request.deadline) * LATE_WAIT_SHARE)
+        let on_time_ms = slack_ms(now, request.objective.min(request.deadline), request);
+        on_time_ms.max(until_deadline_ms * LATE_WAIT_SHARE)
     }
 
     /// Returns the number of slots that are free for a request, without those reserved for brief work of more
     /// urgent classes.
-    fn free_slots(&self, now: Millis, request: &AdmissionRequest) -> u32 {
+    fn free_slots(&self, now: Millis, work: &WaitingWork) -> u32 {
         let free = self.slots.saturating_sub(self.running());
-        let mut higher_classes = self.offered.range(..request.priority);
+        let mut higher_classes = self.offered.range(..work.class);
         let reserves_slots = higher_classes.any(|(_, class)| {
-            let is_brief = class.mean.mean_ms(0.0) <= request.work_ms * BRIEF_WORK_RATIO;
+            let is_brief = class.mean.mean_ms(0.0) <= work.request.work_ms * BRIEF_WORK_RATIO;
             is_brief && class.offered.share(now, 1) >= MIN_BRIEF_LOAD
         });
         if !reserves_slots || self.slots <= 2 * RESERVED_SLOTS {
             return free;
         }
-        let is_less_urgent = |work: &&RunningWork| work.priority >= request.priority;
+        let is_less_urgent = |running: &&RunningWork| running.class >= work.class;
         let less_urgent = self.running.values().filter(is_less_urgent).count();
         let unreserved = (self.slots - RESERVED_SLOTS)
             .saturating_sub(u32::try_from(less_urgent).unwrap_or(u32::MAX));
@@ -216,28 +320,38 @@
 
     /// Removes a request, whether it waits or runs.
     pub fn remove(&mut self, ticket: u64) {
-        self.waiting.remove(&ticket);
-        self.running.remove(&ticket);
+        if self.running.remove(&ticket).is_some() {
+            return;
+        }
+        let index = self.waiting.iter().position(|work| work.ticket == ticket);
+        if let Some(index) = index {
+            let work = self.waiting.remove(index);
+            if work.is_protected {
+                self.shares.return_credit(work.tenant);
+            }
+        }
     }
 
-    /// Returns the expected wait behind `queued_ms` of queued work, in milliseconds.
-    fn wait_ms(&self, now: Millis, request: &AdmissionRequest, queued_ms: f64) -> f64 {
-        let is_free = self.free_slots(now, request) > 0;
+    /// Returns the expected remaining work of all running requests, in milliseconds.
+    fn remaining_ms(&self, now: Millis) -> f64 {
+        let remaining = self.running.values().map(|work| work.remaining_ms(now));
+        remaining.sum()
+    }
+
+    /// Returns the expected wait behind `queued_ms` of queued work, in milliseconds, while the running requests
+    /// have `remaining_ms` of work left.
+    fn wait_ms(&self, now: Millis, work: &WaitingWork, queued_ms: f64, remaining_ms: f64) -> f64 {
+        let is_free = self.free_slots(now, work) > 0;
         if is_free && queued_ms <= 0.0 {
             return 0.0;
         }
-        let remaining: f64 = self
-            .running
-            .values()
-            .map(|work| work.remaining_ms(now))
-            .sum();
         let slots = f64::from(self.slots);
         // A slot becomes free when the first running request ends, which takes on average the mean remaining
         // work of the running requests divided by their number.
         let next_free_ms = if is_free {
             0.0
         } else {
-            remaining / slots / slots
+            remaining_ms / slots / slots
         };
         next_free_ms + queued_ms / slots
     }
@@ -251,9 +365,17 @@
     }
 }
 
-/// Returns the sort key for the order in which requests run: by priority, then those that can still meet
-/// their objective, then by objective.
-fn rank(now: Millis, ticket: u64, request: &AdmissionRequest) -> (u32, bool, Millis, u64) {
-    let is_late = now.plus(request.work_ms as u64) > request.objective;
-    (request.priority, is_late, request.objective, ticket)
+/// Returns the class of a request: zero for calls, else one more than its priority.
+const fn class_of(request: &AdmissionRequest) -> u32 {
+    if request.is_call {
+        0
+    } else {
+        request.priority.saturating_add(1)
+    }
+}
+
+/// Returns the time until the latest start of a request that ends by `end`, in milliseconds; below zero if it has
+/// passed.
+fn slack_ms(now: Millis, end: Millis, request: &AdmissionRequest) -> f64 {
+    end.since(now) as f64 - request.work_ms * WORK_MARGIN
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`outage`]: calls to a store that does not answer.
 //! - [`service_time`]: moving mean of service times.
 //! - [`settling`]: completeness of a starting fleet.
+//! - [`shares`]: shares of tenants in one backend server, and protection of less urgent ones.
 //! - [`transfer`]: admission of large bodies to a slow network link.
 
 pub mod admission;
@@ -19,10 +20,12 @@
 pub mod choice;
 pub mod cold;
 pub mod cold_check;
+mod decay;
 pub mod leaving;
 pub mod moving;
 pub mod offered;
 pub mod outage;
 pub mod service_time;
 pub mod settling;
+pub mod shares;
 pub mod transfer;
--- a/crates/policy/src/offered.rs
+++ b/crates/policy/src/offered.rs
@@ -4,8 +4,10 @@
 
 use jy_types::time::Millis;
 
+use crate::decay::DecayingSum;
+
 /// Half-life of offered work: the service time of several requests.
-const HALF_LIFE_MS: f64 = 1_000.0;
+const HALF_LIFE_MS: u64 = 1_000;
 
 /// Number of key buckets above which those with little work are dropped.
 const MAX_BUCKETS: usize = 2_048;
@@ -16,37 +18,11 @@
 /// Share of its capacity that a backend server may be offered without counting as overloaded.
 const OVERLOAD_SHARE: f64 = 1.1;
 
-/// Sum that decays exponentially with [`HALF_LIFE_MS`].
-#[derive(Clone, Copy, Debug, Default)]
-struct DecayingSum {
-    sum: f64,
-    at: Millis,
-}
-
-impl DecayingSum {
-    /// Returns the sum, decayed up to `now`.
-    fn value(&self, now: Millis) -> f64 {
-        let age = now.since(self.at) as f64;
-        self.sum * 0.5_f64.powf(age / HALF_LIFE_MS)
-    }
-
-    /// Decays the sum up to `now` and adds an amount.
-    fn add(&mut self, now: Millis, amount: f64) {
-        self.sum = self.value(now) + amount;
-        self.at = now;
-    }
-
-    /// Returns the constant rate at which the sum would keep its present value, in units per millisecond.
-    fn rate(&self, now: Millis) -> f64 {
-        self.value(now) * std::f64::consts::LN_2 / HALF_LIFE_MS
-    }
-}
-
 /// Work that a backend server was recently offered, whether admitted or refused.
 #[derive(Clone, Debug, Default)]
 pub struct OfferedWork {
-    total: DecayingSum,
-    buckets: BTreeMap<u16, DecayingSum>,
+    total: DecayingSum<HALF_LIFE_MS>,
+    buckets: BTreeMap<u16, DecayingSum<HALF_LIFE_MS>>,
 }
 
 impl OfferedWork {
@@ -80,7 +56,7 @@
     #[must_use]
     pub fn by_bucket(&self, now: Millis, slots: u32) -> BTreeMap<u16, f64> {
         let slots = f64::from(slots.max(1));
-        let share = |sum: &DecayingSum| sum.rate(now) / slots;
+        let share = |sum: &DecayingSum<HALF_LIFE_MS>| sum.rate(now) / slots;
         let buckets = self.buckets.iter();
         buckets.map(|(bucket, sum)| (*bucket, share(sum))).collect()
     }
--- a/crates/policy/tests/test_admission.rs
+++ b/crates/policy/tests/test_admission.rs
@@ -8,6 +8,8 @@
 
 /// A request with a distant objective and deadline.
 const LONG_DEADLINE: AdmissionRequest = AdmissionRequest {
+    tenant: None,
+    is_call: false,
     priority: 2,
     objective: Millis(10_000),
     deadline: Millis(20_000),
@@ -62,6 +64,8 @@
 fn start_prefers_late_urgent_request_to_less_urgent() {
     let mut queue = full_queue();
     let late_call = AdmissionRequest {
+        tenant: None,
+        is_call: false,
         priority: 1,
         objective: Millis(10),
         deadline: Millis(400),
@@ -98,6 +102,8 @@
 
 /// A brief urgent request, like the calls that running requests make.
 const BRIEF: AdmissionRequest = AdmissionRequest {
+    tenant: None,
+    is_call: false,
     priority: 0,
     objective: Millis(60),
     deadline: Millis(200),
@@ -164,7 +170,7 @@
         objective: Millis(1),
         ..BRIEF
     };
-    queue.offer(Millis(1), 200, call);
+    queue.offer(Millis(1), 200, call.clone());
     queue.start(Millis(1));
     expect_that!(queue.offer(Millis(1), 201, call), eq(Admission::Queued));
 }
--- a/crates/policy/tests/test_hot_key.rs
+++ b/crates/policy/tests/test_hot_key.rs
@@ -65,6 +65,8 @@
             let ticket = offered_at.len() as u64;
             offered_at.push(now);
             let request = AdmissionRequest {
+                tenant: None,
+                is_call: false,
                 priority: 2,
                 objective: now.plus(OBJECTIVE_MS),
                 deadline: now.plus(DEADLINE_MS),
--- /dev/null
+++ b/crates/policy/tests/test_waiting.rs
@@ -0,0 +1,286 @@
+//! Crowds at one gate, with callers that retry as told: who is served in time, late or never, and how often
+//! callers are refused.
+//!
+//! One backend server in virtual time. Callers send one to three attempts, 8 ms away, and heed `Retry-After` up
+//! to a third of the time that they have left.
+
+use std::collections::BTreeMap;
+
+use googletest::prelude::*;
+use jy_policy::admission::Admission;
+use jy_policy::admission::AdmissionRequest;
+use jy_policy::admission::WorkQueue;
+use jy_types::name::Name;
+use jy_types::time::Millis;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const SLOTS: u32 = 6;
+const WORK_MS: u64 = 200;
+const OBJECTIVE_MS: u64 = 1_000;
+/// Time limit of callers as a multiple of the objective.
+const LIMIT_RATIO: u64 = 5;
+const LINK_MS: u64 = 8;
+/// Requests per second that the backend server runs at most.
+const CAPACITY_PER_S: f64 = SLOTS as f64 * 1_000.0 / WORK_MS as f64;
+/// Longest wait at the gate, as a share of the time left.
+const MAX_QUEUE_WAIT_SHARE: f64 = 0.6;
+
+/// Requests of one kind: their tenant, their priority, and their rate at a time as a multiple of the capacity.
+struct Source {
+    tenant: Option<Name>,
+    priority: u32,
+    load: Box<dyn Fn(u64) -> f64>,
+}
+
+/// One request of a caller, over all attempts.
+#[derive(Clone)]
+struct Caller {
+    source: usize,
+    sent: Millis,
+    attempts_left: u32,
+}
+
+/// What became of the requests of one source, or of all.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    requests: u32,
+    in_time: u32,
+    late: u32,
+    refusals: u32,
+}
+
+impl Tally {
+    fn served(&self) -> u32 {
+        self.in_time + self.late
+    }
+
+    fn share_served(&self) -> f64 {
+        f64::from(self.served()) / f64::from(self.requests.max(1))
+    }
+
+    fn share_in_time(&self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.requests.max(1))
+    }
+}
+
+/// A gate with its callers.
+struct GateLoop {
+    queue: WorkQueue,
+    rng: SmallRng,
+    /// Arrivals of each source, so that a source sends the same whatever the others do.
+    arrivals: Vec<SmallRng>,
+    callers: Vec<Caller>,
+    /// Attempts on their way to the gate.
+    sent: BTreeMap<(Millis, u64), usize>,
+    next_ticket: u64,
+    /// Waiting attempts with the time at which the gate gives up.
+    waiting: BTreeMap<u64, (usize, Millis)>,
+    running: BTreeMap<(Millis, u64), usize>,
+    tallies: Vec<Tally>,
+}
+
+impl GateLoop {
+    fn request(&self, now: Millis, caller: usize, sources: &[Source]) -> AdmissionRequest {
+        let Caller { source, sent, .. } = self.callers[caller];
+        let deadline = sent.plus(OBJECTIVE_MS * LIMIT_RATIO);
+        AdmissionRequest {
+            tenant: sources[source].tenant.clone(),
+            is_call: false,
+            priority: sources[source].priority,
+            objective: now.plus(OBJECTIVE_MS).min(deadline),
+            deadline,
+            work_ms: WORK_MS as f64,
+        }
+    }
+
+    fn send(&mut self, at: Millis, caller: usize) {
+        self.sent.insert((at, self.next_ticket), caller);
+        self.next_ticket += 1;
+    }
+
+    fn refuse(&mut self, now: Millis, caller: usize, retry_ms: u64) {
+        let state = &mut self.callers[caller];
+        self.tallies[state.source].refusals += 1;
+        let left_ms = state.sent.plus(OBJECTIVE_MS * LIMIT_RATIO).since(now);
+        state.attempts_left -= 1;
+        if state.attempts_left > 0 {
+            let retry_ms = retry_ms.max(40).min(left_ms / 3);
+            self.send(now.plus(retry_ms + 2 * LINK_MS), caller);
+        }
+    }
+
+    fn arrive(&mut self, now: Millis, ticket: u64, caller: usize, sources: &[Source]) {
+        let request = self.request(now, caller, sources);
+        let left_ms = request.deadline.since(now);
+        if left_ms <= WORK_MS {
+            return;
+        }
+        match self.queue.offer(now, ticket, request) {
+            Admission::Refused { retry_ms } => self.refuse(now, caller, retry_ms),
+            Admission::Queued => {
+                let max_wait_ms = (left_ms as f64 * MAX_QUEUE_WAIT_SHARE) as u64;
+                let give_up = now.plus(max_wait_ms.min(left_ms - WORK_MS));
+                self.waiting.insert(ticket, (caller, give_up));
+                for refused in self.queue.refuse_late(now) {
+                    self.give_up(now, refused);
+                }
+            }
+        }
+    }
+
+    fn give_up(&mut self, now: Millis, ticket: u64) {
+        if let Some((caller, _)) = self.waiting.remove(&ticket) {
+            self.queue.remove(ticket);
+            self.refuse(now, caller, WORK_MS);
+        }
+    }
+
+    fn step(&mut self, now: Millis, sources: &[Source]) {
+        while let Some(entry) = self
+            .running
+            .first_entry()
+            .filter(|entry| entry.key().0 <= now)
+        {
+            let ((_, ticket), caller) = entry.remove_entry();
+            self.queue.remove(ticket);
+            let Caller { source, sent, .. } = self.callers[caller];
+            let elapsed_ms = now.since(sent) + LINK_MS;
+            if elapsed_ms <= OBJECTIVE_MS {
+                self.tallies[source].in_time += 1;
+            } else if elapsed_ms <= OBJECTIVE_MS * LIMIT_RATIO {
+                self.tallies[source].late += 1;
+            }
+        }
+        let is_over =
+            |(ticket, (_, give_up)): (&u64, &(usize, Millis))| (*give_up <= now).then_some(*ticket);
+        let given_up: Vec<u64> = self.waiting.iter().filter_map(is_over).collect();
+        for ticket in given_up {
+            self.give_up(now, ticket);
+        }
+        for (source, kind) in sources.iter().enumerate() {
+            let per_ms = (kind.load)(now.0) * CAPACITY_PER_S / 1_000.0;
+            let attempts_left = self.arrivals[source].random_range(2..=3);
+            if self.arrivals[source].random_bool(per_ms.min(1.0)) {
+                self.tallies[source].requests += 1;
+                self.callers.push(Caller {
+                    source,
+                    sent: now,
+                    attempts_left,
+                });
+                self.send(now.plus(LINK_MS), self.callers.len() - 1);
+            }
+        }
+        while let Some(entry) = self.sent.first_entry().filter(|entry| entry.key().0 <= now) {
+            let ((_, ticket), caller) = entry.remove_entry();
+            self.arrive(now, ticket, caller, sources);
+        }
+        while let Some(ticket) = self.queue.start(now) {
+            let Some((caller, _)) = self.waiting.remove(&ticket) else {
+                continue;
+            };
+            let work_ms = self.rng.random_range(WORK_MS / 2..WORK_MS * 3 / 2);
+            self.running.insert((now.plus(work_ms), ticket), caller);
+        }
+    }
+}
+
+/// Plays a load and returns what became of each source's requests.
+fn play(sources: &[Source], duration_ms: u64, seed: u64) -> Vec<Tally> {
+    let mut gate = GateLoop {
+        queue: WorkQueue::new(SLOTS),
+        rng: SmallRng::seed_from_u64(seed),
+        arrivals: (1..=sources.len() as u64)
+            .map(|source| SmallRng::seed_from_u64(seed * 1_000 + source))
+            .collect(),
+        callers: Vec::new(),
+        sent: BTreeMap::new(),
+        next_ticket: 0,
+        waiting: BTreeMap::new(),
+        running: BTreeMap::new(),
+        tallies: vec![Tally::default(); sources.len()],
+    };
+    for now in (1..duration_ms).map(Millis) {
+        gate.step(now, sources);
+    }
+    gate.tallies
+}
+
+/// Adds up tallies.
+fn total<'tally>(tallies: impl IntoIterator<Item = &'tally Tally>) -> Tally {
+    let mut sum = Tally::default();
+    for tally in tallies {
+        sum.requests += tally.requests;
+        sum.in_time += tally.in_time;
+        sum.late += tally.late;
+        sum.refusals += tally.refusals;
+    }
+    sum
+}
+
+/// Twenty tenants that use 0.85 of the capacity together, and one more that sends `hot_ratio` times as much as each
+/// of them from 30 s to 40 s.
+fn hot_tenant_sources(hot_ratio: f64, is_named: bool) -> Vec<Source> {
+    let usual = 0.85 / 20.0;
+    let load = move |index: u64, now: u64| {
+        let is_hot = index == 20 && (30_000..40_000).contains(&now);
+        if is_hot { hot_ratio * usual } else { usual }
+    };
+    let source = |index: u64| Source {
+        tenant: is_named.then(|| format!("tenant-{index}").into()),
+        priority: 2,
+        load: Box::new(move |now| load(index, now)),
+    };
+    (0..21).map(source).collect()
+}
+
+/// Guards against a tenant that sends many times its usual load and takes capacity from all others.
+#[gtest]
+fn offer_hot_tenant_takes_nothing_from_others() {
+    let mut tallies: [Vec<Tally>; 3] = Default::default();
+    for seed in 1..9 {
+        let loads = [(1.0, true), (7.0, true), (7.0, false)];
+        for (tallies, (hot_ratio, is_named)) in tallies.iter_mut().zip(loads) {
+            tallies.extend(play(&hot_tenant_sources(hot_ratio, is_named), 45_000, seed));
+        }
+    }
+    let [calm, shared, unshared] = tallies.map(|tallies| {
+        let (others, hot): (Vec<_>, Vec<_>) =
+            tallies.chunks(21).map(|run| run.split_at(20)).unzip();
+        (total(others.concat().iter()), total(hot.concat().iter()))
+    });
+    let lost = |tally: Tally| calm.0.share_in_time() - tally.share_in_time();
+    expect_that!(lost(shared.0), le(0.01));
+    expect_that!(lost(shared.0), le(lost(unshared.0) / 4.0));
+    expect_that!(shared.1.share_served(), ge(0.25));
+}
+
+/// Guards against tenants of low priority that are starved while more urgent ones fill the capacity, and against
+/// their protection taking more than it needs.
+#[gtest]
+fn offer_low_priority_tenant_gets_quarter_of_share() {
+    for seed in 1..4 {
+        for load in [1.4, 2.0, 3.0] {
+            let urgent = load;
+            let mut sources = vec![Source {
+                tenant: Some("urgent".into()),
+                priority: 1,
+                load: Box::new(move |_| urgent),
+            }];
+            for index in 0..10 {
+                sources.push(Source {
+                    tenant: Some(format!("low-{index}").into()),
+                    priority: 4,
+                    load: Box::new(move |_| 0.02),
+                });
+            }
+            let tallies = play(&sources, 60_000, seed);
+            let all = total(&tallies);
+            let low = total(&tallies[1..]);
+            let ratio = low.share_served() / all.share_served();
+            expect_that!(ratio, ge(0.25), "seed {seed}, load {load}");
+            expect_that!(ratio, le(0.75), "seed {seed}, load {load}");
+        }
+    }
+}
