policy, edge: let late requests wait for capacity that is left

Cause: a request that could not be on time was refused unless its expected wait was below a tenth of its slack, whether or not capacity was left for a late answer.

A request that cannot be on time waits behind all that can if the backlog ahead of it, divided by the free share, takes at most 0.6 of its slack; else it is refused at once. Waiting requests are checked again with each offer, and at the limit of 0.6 of the time left, after which they wait on only while the forecast still holds. This applies to requests of tenants, and to others whose time left is at least three times that until their objective.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -251,8 +251,11 @@
         let left_ms = job.deadline.since(now);
         let share_ms = (left_ms as f64 * MAX_QUEUE_WAIT_SHARE) as u64;
         let max_wait_ms = left_ms.saturating_sub(work_ms as u64).min(share_ms);
-        let waited = timeout(Duration::from_millis(max_wait_ms.max(1)), start_signal).await;
-        if !matches!(waited, Ok(Ok(()))) {
+        let wait_until = now.plus(max_wait_ms);
+        if !self
+            .wait_for_start(guard.ticket, wait_until, start_signal)
+            .await
+        {
             return not_run(NotRunCause::Overloaded, work_ms as u64);
         }
         if let Err(cause) = self.check_dispatchable(clock::now(), &job) {
@@ -422,6 +425,28 @@
         }
     }
 
+    /// Waits until a queued request may start. Returns false if it is refused, or if it has not started at
+    /// `wait_until` and the forecast does not say that it will.
+    async fn wait_for_start(
+        &self,
+        ticket: u64,
+        mut wait_until: Millis,
+        mut start_signal: oneshot::Receiver<()>,
+    ) -> bool {
+        loop {
+            let wait_ms = wait_until.since(clock::now()).max(1);
+            let waited = timeout(Duration::from_millis(wait_ms), &mut start_signal).await;
+            if let Ok(signal) = waited {
+                return signal.is_ok();
+            }
+            let state = self.state.borrow();
+            match state.queue.wait_longer(clock::now(), ticket) {
+                Some(until) => wait_until = until,
+                None => return false,
+            }
+        }
+    }
+
     /// Starts as many queued requests as the slots and the cold start limit allow.
     fn start_queued(self: &Rc<Self>) {
         let now = clock::now();
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -1,7 +1,8 @@
 //! Admission control for a backend server that is offered more work than it can finish in time.
 //!
 //! Requests wait in this queue instead of at the backend server, the most urgent first. A request that
-//! would not finish by its deadline is refused at once. Calls made by running requests take precedence
+//! would not finish by its deadline is refused at once. One that would be late waits behind those that would not, if
+//! they leave capacity for it (see [`crate::forecast`]). Calls made by running requests take precedence
 //! over new work, since refusing such a call wastes the run that made it. Tenants of one priority share the
 //! capacity, and those of a low priority are not starved (see [`crate::shares`]).
 
@@ -10,6 +11,7 @@
 use jy_types::name::Name;
 use jy_types::time::Millis;
 
+use crate::forecast::CapacityForecast;
 use crate::offered::OfferedWork;
 use crate::service_time::ServiceTimeMean;
 use crate::shares::TenantShares;
@@ -18,9 +20,17 @@
 const WORK_MARGIN: f64 = 1.3;
 
 /// Share of the slack before its deadline that a request may spend waiting although it will miss its
-/// objective.
+/// objective, if its time limit leaves no room for a forecast or there is none.
 const LATE_WAIT_SHARE: f64 = 0.1;
 
+/// Longest forecast wait of a late request, as a share of the slack before its deadline. If the forecast turns out
+/// to be wrong, the caller still has time for another attempt.
+const FORECAST_WAIT_SHARE: f64 = 0.6;
+
+/// Least ratio of a caller's time limit to its objective at which a request without a tenant may wait for a late
+/// answer.
+const MIN_LIMIT_RATIO: u64 = 3;
+
 /// Lower bound on the expected remaining work of a running request, as a share of its mean work.
 const MIN_REMAINING_SHARE: f64 = 0.25;
 
@@ -72,6 +82,7 @@
     waiting: Vec<WaitingWork>,
     running: BTreeMap<u64, RunningWork>,
     shares: TenantShares,
+    forecast: CapacityForecast,
 }
 
 /// A waiting request.
@@ -85,6 +96,10 @@
     tenant: Option<u32>,
     /// Whether the request goes before others because its tenant is starved.
     is_protected: bool,
+    /// Whether the request may wait for a late answer.
+    has_room: bool,
+    /// Whether the request waits although it will be late.
+    waits_late: bool,
     rank: WorkRank,
 }
 
@@ -125,6 +140,7 @@
             waiting: Vec::new(),
             running: BTreeMap::new(),
             shares: TenantShares::new(),
+            forecast: CapacityForecast::new(),
         }
     }
 
@@ -157,16 +173,30 @@
             let tenant = request.tenant.as_ref();
             self.shares.record_offered(now, self.slots, class, tenant)
         };
+        let limit_ms = request.objective.since(now).saturating_mul(MIN_LIMIT_RATIO);
+        let has_room = request.tenant.is_some() || request.deadline.since(now) >= limit_ms;
         let mut work = WaitingWork {
             request,
             ticket,
             class,
             tenant,
             is_protected: false,
+            has_room,
+            waits_late: false,
             rank: WorkRank::default(),
         };
         let wait_ms = self.rank_and_wait_ms(now, &mut work);
-        if self.is_wait_useful(now, &work, wait_ms) || self.protect_in_time(now, &mut work) {
+        let is_on_time = !work.rank.is_late && self.is_wait_useful(now, &work, wait_ms);
+        let on_time_ms = if is_on_time {
+            work.request.work_ms
+        } else {
+            0.0
+        };
+        self.forecast.record(now, self.slots, class, on_time_ms);
+        if self.is_wait_useful(now, &work, wait_ms)
+            || self.wait_late(now, &mut work)
+            || self.protect_in_time(now, &mut work)
+        {
             self.waiting.push(work);
             return Admission::Queued;
         }
@@ -184,11 +214,20 @@
         }
         waiting.sort_by_key(|work| work.rank);
         let remaining_ms = self.remaining_ms(now);
+        let mut totals_ms: BTreeMap<u32, f64> = BTreeMap::new();
+        let mut total_ms = 0.0;
+        for work in &waiting {
+            total_ms += work.request.work_ms;
+            totals_ms.insert(work.class, total_ms);
+        }
         let mut ahead_ms = 0.0;
         let mut refused = Vec::new();
         waiting.retain_mut(|work| {
             let wait_ms = self.wait_ms(now, work, ahead_ms, remaining_ms);
-            if ahead_ms <= 0.0 || self.is_wait_useful(now, work, wait_ms) || self.protect(now, work)
+            if ahead_ms <= 0.0
+                || self.is_wait_useful(now, work, wait_ms)
+                || self.becomes_late(now, work, remaining_ms, &totals_ms)
+                || self.protect(now, work)
             {
                 ahead_ms += work.request.work_ms;
                 return true;
@@ -231,7 +270,7 @@
         WorkRank {
             class: work.class,
             is_unprotected: !work.is_protected,
-            is_late: now.plus(request.work_ms as u64) > request.objective,
+            is_late: work.waits_late || now.plus(request.work_ms as u64) > request.objective,
             level: self.shares.level(work.tenant),
             due: request.objective,
             ticket: work.ticket,
@@ -251,9 +290,63 @@
 
     /// Whether a request may wait for the given time.
     fn is_wait_useful(&self, now: Millis, work: &WaitingWork, wait_ms: f64) -> bool {
+        if work.waits_late && !work.is_protected {
+            return wait_ms <= 0.0 || self.is_late_wait_useful(now, work, wait_ms);
+        }
         wait_ms <= 0.0 || wait_ms <= self.max_wait_ms(now, work)
     }
 
+    /// Whether a late request may wait behind work that takes the whole capacity for `wait_ms`.
+    fn is_late_wait_useful(&self, now: Millis, work: &WaitingWork, wait_ms: f64) -> bool {
+        let free_share = self.forecast.free_share(now, work.class);
+        let free_share = free_share.filter(|_| work.has_room).unwrap_or(0.0);
+        let max_wait_ms = slack_ms(now, work.request.deadline, &work.request) * FORECAST_WAIT_SHARE;
+        wait_ms < max_wait_ms * free_share
+    }
+
+    /// Lets a request that cannot be on time wait behind all that can, if it is then served before its deadline.
+    /// Returns whether it is.
+    fn wait_late(&self, now: Millis, work: &mut WaitingWork) -> bool {
+        if !work.has_room {
+            return false;
+        }
+        work.waits_late = true;
+        let wait_ms = self.rank_and_wait_ms(now, work);
+        self.is_late_wait_useful(now, work, wait_ms)
+    }
+
+    /// Lets a waiting request that can no longer be on time wait behind all that can, given the work of each class
+    /// and the more urgent ones. Returns whether it is then served before its deadline.
+    fn becomes_late(
+        &self,
+        now: Millis,
+        work: &mut WaitingWork,
+        remaining_ms: f64,
+        totals_ms: &BTreeMap<u32, f64>,
+    ) -> bool {
+        if !work.has_room || work.waits_late {
+            return false;
+        }
+        work.waits_late = true;
+        let total_ms = totals_ms.get(&work.class).copied().unwrap_or_default();
+        let ahead_ms = total_ms - work.request.work_ms;
+        let wait_ms = self.wait_ms(now, work, ahead_ms, remaining_ms);
+        self.is_late_wait_useful(now, work, wait_ms)
+    }
+
+    /// Returns until when a waiting request may go on waiting, if the forecast says that it will start in time.
+    #[must_use]
+    pub fn wait_longer(&self, now: Millis, ticket: u64) -> Option<Millis> {
+        let work = self.waiting.iter().find(|work| work.ticket == ticket)?;
+        let mut work = work.clone();
+        let wait_ms = self.rank_and_wait_ms(now, &mut work);
+        let slack_ms = slack_ms(now, work.request.deadline, &work.request);
+        if slack_ms < 1.0 || !self.is_late_wait_useful(now, &work, wait_ms) {
+            return None;
+        }
+        Some(now.plus((slack_ms * FORECAST_WAIT_SHARE) as u64))
+    }
+
     /// Lets a request that would be refused go before others if its tenant is starved and the request is then
     /// served before its deadline. Returns whether it is.
     fn protect_in_time(&mut self, now: Millis, work: &mut WaitingWork) -> bool {
@@ -281,8 +374,8 @@
 
     /// Returns the longest useful wait of a request, in milliseconds.
     ///
-    /// A request may wait until the latest start that meets its objective, or for a small share of the time
-    /// until the latest start that meets its deadline, whichever is longer. Calls, brief urgent work and requests
+    /// A request may wait until the latest start that meets its objective, or, without a forecast for late ones, for
+    /// a small share of the time until the latest start that meets its deadline if that is longer. Calls, brief urgent work and requests
     /// of starved tenants may wait until the latest start that meets the deadline.
     fn max_wait_ms(&self, now: Millis, work: &WaitingWork) -> f64 {
         let request = &work.request;
@@ -296,6 +389,9 @@
             return until_deadline_ms;
         }
         let on_time_ms = slack_ms(now, request.objective.min(request.deadline), request);
+        if work.has_room && self.forecast.free_share(now, work.class).is_some() {
+            return on_time_ms;
+        }
         on_time_ms.max(until_deadline_ms * LATE_WAIT_SHARE)
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`capacity`]: weights of backend servers of different speeds.
 //! - [`choice`]: load balancing among backend servers of different speeds.
 //! - [`cold`]: rate limit for a backend server in cold start.
+//! - [`forecast`]: capacity that is left for late requests.
 //! - [`leaving`]: requests for the keys of a backend server that leaves.
 //! - [`moving`]: waiting for keys that move between backend servers.
 //! - [`offered`]: measurement of offered work and overload.
@@ -21,6 +22,7 @@
 pub mod cold;
 pub mod cold_check;
 mod decay;
+pub mod forecast;
 pub mod leaving;
 pub mod moving;
 pub mod offered;
--- a/crates/policy/tests/test_waiting.rs
+++ b/crates/policy/tests/test_waiting.rs
@@ -34,6 +34,13 @@
     load: Box<dyn Fn(u64) -> f64>,
 }
 
+/// Variants of a gate and its callers.
+#[derive(Clone, Copy, Debug, Default)]
+struct LoopRules {
+    /// The gate sees time limits just too short for waiting behind work that is on time: the order before.
+    has_no_room: bool,
+}
+
 /// One request of a caller, over all attempts.
 #[derive(Clone)]
 struct Caller {
@@ -68,6 +75,7 @@
 /// A gate with its callers.
 struct GateLoop {
     queue: WorkQueue,
+    rules: LoopRules,
     rng: SmallRng,
     /// Arrivals of each source, so that a source sends the same whatever the others do.
     arrivals: Vec<SmallRng>,
@@ -84,12 +92,16 @@
 impl GateLoop {
     fn request(&self, now: Millis, caller: usize, sources: &[Source]) -> AdmissionRequest {
         let Caller { source, sent, .. } = self.callers[caller];
-        let deadline = sent.plus(OBJECTIVE_MS * LIMIT_RATIO);
+        let mut deadline = sent.plus(OBJECTIVE_MS * LIMIT_RATIO);
+        let objective = now.plus(OBJECTIVE_MS).min(deadline);
+        if self.rules.has_no_room {
+            deadline = deadline.min(now.plus(objective.since(now) * 3).minus(1));
+        }
         AdmissionRequest {
             tenant: sources[source].tenant.clone(),
             is_call: false,
             priority: sources[source].priority,
-            objective: now.plus(OBJECTIVE_MS).min(deadline),
+            objective,
             deadline,
             work_ms: WORK_MS as f64,
         }
@@ -113,7 +125,10 @@
 
     fn arrive(&mut self, now: Millis, ticket: u64, caller: usize, sources: &[Source]) {
         let request = self.request(now, caller, sources);
-        let left_ms = request.deadline.since(now);
+        let left_ms = self.callers[caller]
+            .sent
+            .plus(OBJECTIVE_MS * LIMIT_RATIO)
+            .since(now);
         if left_ms <= WORK_MS {
             return;
         }
@@ -157,7 +172,13 @@
             |(ticket, (_, give_up)): (&u64, &(usize, Millis))| (*give_up <= now).then_some(*ticket);
         let given_up: Vec<u64> = self.waiting.iter().filter_map(is_over).collect();
         for ticket in given_up {
-            self.give_up(now, ticket);
+            match self.queue.wait_longer(now, ticket) {
+                Some(until) => self.waiting.entry(ticket).and_modify(|wait| wait.1 = until),
+                None => {
+                    self.give_up(now, ticket);
+                    continue;
+                }
+            };
         }
         for (source, kind) in sources.iter().enumerate() {
             let per_ms = (kind.load)(now.0) * CAPACITY_PER_S / 1_000.0;
@@ -187,9 +208,10 @@
 }
 
 /// Plays a load and returns what became of each source's requests.
-fn play(sources: &[Source], duration_ms: u64, seed: u64) -> Vec<Tally> {
+fn play(sources: &[Source], rules: LoopRules, duration_ms: u64, seed: u64) -> Vec<Tally> {
     let mut gate = GateLoop {
         queue: WorkQueue::new(SLOTS),
+        rules,
         rng: SmallRng::seed_from_u64(seed),
         arrivals: (1..=sources.len() as u64)
             .map(|source| SmallRng::seed_from_u64(seed * 1_000 + source))
@@ -242,7 +264,12 @@
     for seed in 1..9 {
         let loads = [(1.0, true), (7.0, true), (7.0, false)];
         for (tallies, (hot_ratio, is_named)) in tallies.iter_mut().zip(loads) {
-            tallies.extend(play(&hot_tenant_sources(hot_ratio, is_named), 45_000, seed));
+            tallies.extend(play(
+                &hot_tenant_sources(hot_ratio, is_named),
+                LoopRules::default(),
+                45_000,
+                seed,
+            ));
         }
     }
     let [calm, shared, unshared] = tallies.map(|tallies| {
@@ -275,7 +302,7 @@
                     load: Box::new(move |_| 0.02),
                 });
             }
-            let tallies = play(&sources, 60_000, seed);
+            let tallies = play(&sources, LoopRules::default(), 60_000, seed);
             let all = total(&tallies);
             let low = total(&tallies[1..]);
             let ratio = low.share_served() / all.share_served();
@@ -284,3 +311,34 @@
         }
     }
 }
+
+/// A crowd of `peak` times the capacity from 10 s on for `length_ms`, and half the capacity else.
+fn crowd(peak: f64, length_ms: u64) -> Vec<Source> {
+    let is_crowded = move |now: u64| (10_000..10_000 + length_ms).contains(&now);
+    vec![Source {
+        tenant: None,
+        priority: 2,
+        load: Box::new(move |now| if is_crowded(now) { peak } else { 0.5 }),
+    }]
+}
+
+/// Plays a crowd with several seeds.
+fn play_crowd(peak: f64, length_ms: u64, rules: LoopRules) -> Tally {
+    let play_seed = |seed| play(&crowd(peak, length_ms), rules, 30_000, seed);
+    let runs: Vec<Tally> = (1..9).flat_map(play_seed).collect();
+    total(&runs)
+}
+
+/// Guards against late requests that take capacity from those that can be on time, in crowds of a second and of
+/// several.
+#[gtest]
+fn offer_crowd_late_requests_displace_none_on_time() {
+    for (peak, length_ms) in [(3.0, 800), (1.4, 4_000), (2.0, 4_000), (3.0, 4_000)] {
+        let before = play_crowd(peak, length_ms, LoopRules { has_no_room: true });
+        let after = play_crowd(peak, length_ms, LoopRules::default());
+        let in_time = after.share_in_time() - before.share_in_time();
+        expect_that!(in_time, ge(-0.005), "{peak} for {length_ms} ms");
+        let served = after.share_served() - before.share_served();
+        expect_that!(served, ge(-0.005), "{peak} for {length_ms} ms");
+    }
+}
