policy, edge: assign refused callers places to return to

Cause: callers that were refused together were told nearly the same delay, returned together and were refused together again. Those refused after a wait were told to return after one service time.

Change: each refused caller gets one place of its class in the capacity that is expected to be free: after the backlog, spaced by the work of a retry divided by the free capacity, and within a third of its time left. As before where there is no forecast, and for requests that leave no room.

Result: tests of jy-policy and jy-edge pass.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -243,7 +243,7 @@
             deadline: job.deadline,
             work_ms,
         };
-        let (guard, start_signal) = match self.enqueue(now, admission_request) {
+        let (guard, start_signal) = match self.enqueue(now, admission_request.clone()) {
             Ok(queued) => queued,
             Err(retry_ms) => return not_run(NotRunCause::Overloaded, retry_ms),
         };
@@ -252,11 +252,12 @@
         let share_ms = (left_ms as f64 * MAX_QUEUE_WAIT_SHARE) as u64;
         let max_wait_ms = left_ms.saturating_sub(work_ms as u64).min(share_ms);
         let wait_until = now.plus(max_wait_ms);
-        if !self
+        let has_started = self
             .wait_for_start(guard.ticket, wait_until, start_signal)
-            .await
-        {
-            return not_run(NotRunCause::Overloaded, work_ms as u64);
+            .await;
+        if !has_started {
+            let retry_ms = self.retry_ms_after_wait(now, &admission_request);
+            return not_run(NotRunCause::Overloaded, retry_ms);
         }
         if let Err(cause) = self.check_dispatchable(clock::now(), &job) {
             return not_run(cause, UNAVAILABLE_RETRY_MS);
@@ -447,6 +448,17 @@
         }
     }
 
+    /// Returns the retry delay of a request that arrived at `offered_at`, waited and was refused, in milliseconds.
+    fn retry_ms_after_wait(&self, offered_at: Millis, request: &AdmissionRequest) -> u64 {
+        let mut state = self.state.borrow_mut();
+        let place_ms = if request.leaves_room(offered_at) {
+            state.queue.assign_retry(clock::now(), request)
+        } else {
+            None
+        };
+        place_ms.unwrap_or(request.work_ms as u64)
+    }
+
     /// Starts as many queued requests as the slots and the cold start limit allow.
     fn start_queued(self: &Rc<Self>) {
         let now = clock::now();
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -13,6 +13,8 @@
 
 use crate::forecast::CapacityForecast;
 use crate::offered::OfferedWork;
+use crate::places::RetryPlaces;
+use crate::places::ReturnWindow;
 use crate::service_time::ServiceTimeMean;
 use crate::shares::TenantShares;
 
@@ -27,6 +29,9 @@
 /// to be wrong, the caller still has time for another attempt.
 const FORECAST_WAIT_SHARE: f64 = 0.6;
 
+/// Callers ignore a retry delay above this share of their time left.
+const MAX_RETRY_SHARE: f64 = 1.0 / 3.0;
+
 /// Least ratio of a caller's time limit to its objective at which a request without a tenant may wait for a late
 /// answer.
 const MIN_LIMIT_RATIO: u64 = 3;
@@ -51,6 +56,17 @@
     pub work_ms: f64,
 }
 
+impl AdmissionRequest {
+    /// Whether a request that arrives now leaves room for a late answer: it has a tenant, or the time left is several
+    /// times that until its objective.
+    #[must_use]
+    pub fn leaves_room(&self, now: Millis) -> bool {
+        let until_objective_ms = self.objective.since(now);
+        let limit_ms = until_objective_ms.saturating_mul(MIN_LIMIT_RATIO);
+        self.tenant.is_some() || self.deadline.since(now) >= limit_ms
+    }
+}
+
 /// Outcome of offering a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -83,6 +99,7 @@
     running: BTreeMap<u64, RunningWork>,
     shares: TenantShares,
     forecast: CapacityForecast,
+    places: RetryPlaces,
 }
 
 /// A waiting request.
@@ -141,6 +158,7 @@
             running: BTreeMap::new(),
             shares: TenantShares::new(),
             forecast: CapacityForecast::new(),
+            places: RetryPlaces::new(),
         }
     }
 
@@ -173,8 +191,7 @@
             let tenant = request.tenant.as_ref();
             self.shares.record_offered(now, self.slots, class, tenant)
         };
-        let limit_ms = request.objective.since(now).saturating_mul(MIN_LIMIT_RATIO);
-        let has_room = request.tenant.is_some() || request.deadline.since(now) >= limit_ms;
+        let has_room = request.leaves_room(now);
         let mut work = WaitingWork {
             request,
             ticket,
@@ -200,10 +217,35 @@
             self.waiting.push(work);
             return Admission::Queued;
         }
-        let retry_ms = wait_ms as u64;
+        let place_ms = if has_room {
+            self.assign_retry(now, &work.request)
+        } else {
+            None
+        };
+        let retry_ms = place_ms.unwrap_or(wait_ms as u64);
         Admission::Refused { retry_ms }
     }
 
+    /// Assigns the caller of a refused request a place in the capacity that is expected to be free, and returns the time
+    /// until then in milliseconds; `None` if there is no forecast.
+    ///
+    /// Only requests that left room when they were offered get one, see [`AdmissionRequest::leaves_room`].
+    pub fn assign_retry(&mut self, now: Millis, request: &AdmissionRequest) -> Option<u64> {
+        let class = class_of(request);
+        let free_share = self.forecast.free_share(now, class)?;
+        let free_slots = f64::from(self.slots) * free_share;
+        let ahead = self.waiting.iter().filter(|work| work.class <= class);
+        let ahead_ms: f64 = ahead.map(|work| work.request.work_ms).sum();
+        let longest_ms = request.deadline.since(now) as f64 * MAX_RETRY_SHARE;
+        let window = ReturnWindow {
+            earliest: now.plus((ahead_ms / free_slots) as u64),
+            latest: now.plus(longest_ms as u64),
+        };
+        let spacing_ms = request.work_ms / free_slots;
+        let place = self.places.assign(now, class, window, spacing_ms);
+        Some(place.since(now))
+    }
+
     /// Removes the waiting requests that would be refused if they were offered now, and returns their tickets.
     ///
     /// Requests that came after them have a better rank, so that they would wait until their deadline.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`moving`]: waiting for keys that move between backend servers.
 //! - [`offered`]: measurement of offered work and overload.
 //! - [`outage`]: calls to a store that does not answer.
+//! - [`places`]: when refused callers are to return.
 //! - [`service_time`]: moving mean of service times.
 //! - [`settling`]: completeness of a starting fleet.
 //! - [`shares`]: shares of tenants in one backend server, and protection of less urgent ones.
@@ -27,6 +28,7 @@
 pub mod moving;
 pub mod offered;
 pub mod outage;
+pub mod places;
 pub mod service_time;
 pub mod settling;
 pub mod shares;
