policy, edge: order late requests of tenants by first attempt

Cause: among late requests, one whose caller returned went behind those whose objective was nearer, although its caller had waited for longer.

Change: AdmissionRequest has the time of the first attempt, which the gate derives from the deadline and the route's time limit. Late requests of tenants go by it, oldest first. If the objective has passed, the room for a late answer is judged from the first attempt. Requests without a tenant keep their order.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -239,6 +239,7 @@
             tenant: job.tenant.clone(),
             is_call: false,
             priority: rule.priority,
+            first_sent: job.deadline.minus(rule.timeout_ms),
             objective: job.objective,
             deadline: job.deadline,
             work_ms,
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -48,6 +48,8 @@
     pub is_call: bool,
     /// Priority; zero is the most urgent.
     pub priority: u32,
+    /// When the caller sent its first attempt, as far as it is known.
+    pub first_sent: Millis,
     /// An answer after this point is late.
     pub objective: Millis,
     /// An answer after this point is useless to the caller.
@@ -58,12 +60,17 @@
 
 impl AdmissionRequest {
     /// Whether a request that arrives now leaves room for a late answer: it has a tenant, or the time left is several
-    /// times that until its objective.
+    /// times that until its objective. If the objective has passed, both count from the first attempt.
     #[must_use]
     pub fn leaves_room(&self, now: Millis) -> bool {
-        let until_objective_ms = self.objective.since(now);
+        let counted_from = if self.objective > now {
+            now
+        } else {
+            self.first_sent.min(now)
+        };
+        let until_objective_ms = self.objective.since(counted_from);
         let limit_ms = until_objective_ms.saturating_mul(MIN_LIMIT_RATIO);
-        self.tenant.is_some() || self.deadline.since(now) >= limit_ms
+        self.tenant.is_some() || self.deadline.since(counted_from) >= limit_ms
     }
 }
 
@@ -121,7 +128,8 @@
 }
 
 /// Position in the order in which requests run: by class, then those that can still meet their objective, then
-/// by how far their tenants exceed their shares, then by objective.
+/// by how far their tenants exceed their shares, then by objective. Late requests of tenants go by the caller's first
+/// attempt instead.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 struct WorkRank {
     class: u32,
@@ -309,12 +317,18 @@
     /// Returns the position of a request in the order in which requests run.
     fn rank(&self, now: Millis, work: &WaitingWork) -> WorkRank {
         let request = &work.request;
+        let is_late = work.waits_late || now.plus(request.work_ms as u64) > request.objective;
+        let goes_by_age = is_late && work.tenant.is_some();
         WorkRank {
             class: work.class,
             is_unprotected: !work.is_protected,
-            is_late: work.waits_late || now.plus(request.work_ms as u64) > request.objective,
+            is_late,
             level: self.shares.level(work.tenant),
-            due: request.objective,
+            due: if goes_by_age {
+                request.first_sent
+            } else {
+                request.objective
+            },
             ticket: work.ticket,
         }
     }
--- a/crates/policy/tests/test_admission.rs
+++ b/crates/policy/tests/test_admission.rs
@@ -11,6 +11,7 @@
     tenant: None,
     is_call: false,
     priority: 2,
+    first_sent: Millis(0),
     objective: Millis(10_000),
     deadline: Millis(20_000),
     work_ms: 100.0,
@@ -67,6 +68,7 @@
         tenant: None,
         is_call: false,
         priority: 1,
+        first_sent: Millis(0),
         objective: Millis(10),
         deadline: Millis(400),
         work_ms: 15.0,
@@ -105,6 +107,7 @@
     tenant: None,
     is_call: false,
     priority: 0,
+    first_sent: Millis(0),
     objective: Millis(60),
     deadline: Millis(200),
     work_ms: 15.0,
@@ -174,3 +177,54 @@
     queue.start(Millis(1));
     expect_that!(queue.offer(Millis(1), 201, call), eq(Admission::Queued));
 }
+
+/// Guards against a returning caller that waits behind those whose first attempt came later.
+#[gtest]
+fn start_late_requests_of_tenants_by_first_attempt() {
+    let late = |tenant: Option<&str>, first_sent: u64, objective: u64| AdmissionRequest {
+        tenant: tenant.map(Into::into),
+        first_sent: Millis(first_sent),
+        objective: Millis(objective),
+        ..LONG_DEADLINE
+    };
+    for (tenant, first) in [(Some("tenant"), 4), (None, 3)] {
+        let mut queue = full_queue();
+        queue.offer(Millis(2_000), 3, late(tenant, 1_500, 2_010));
+        queue.offer(Millis(2_000), 4, late(tenant, 500, 2_020));
+        queue.remove(1);
+        expect_that!(queue.start(Millis(2_010)), some(eq(first)), "{tenant:?}");
+    }
+}
+
+/// Guards against calls of running requests that wait behind new work, whatever its priority.
+#[gtest]
+fn start_prefers_call_to_more_urgent_work() {
+    let mut queue = full_queue();
+    let urgent = AdmissionRequest {
+        priority: 0,
+        ..LONG_DEADLINE
+    };
+    let call = AdmissionRequest {
+        is_call: true,
+        priority: 4,
+        ..LONG_DEADLINE
+    };
+    queue.offer(Millis(0), 3, urgent);
+    queue.offer(Millis(0), 4, call);
+    queue.remove(1);
+    expect_that!(queue.start(Millis(1)), some(eq(4)));
+}
+
+/// Guards against room for late answers that is taken from the little time that a caller has left: its limit is twice
+/// its objective, which has passed.
+#[gtest]
+fn leaves_room_after_objective_counts_from_first_attempt() {
+    let returning = |deadline| AdmissionRequest {
+        first_sent: Millis(1_000),
+        objective: Millis(2_000),
+        deadline: Millis(deadline),
+        ..LONG_DEADLINE
+    };
+    expect_that!(returning(3_000).leaves_room(Millis(2_100)), is_false());
+    expect_that!(returning(4_000).leaves_room(Millis(2_100)), is_true());
+}
--- a/crates/policy/tests/test_forecast.rs
+++ b/crates/policy/tests/test_forecast.rs
@@ -17,6 +17,7 @@
         tenant: None,
         is_call: false,
         priority: 2,
+        first_sent: now,
         objective: now.plus(OBJECTIVE_MS),
         deadline: now.plus(LIMIT_MS),
         work_ms: WORK_MS as f64,
--- a/crates/policy/tests/test_hot_key.rs
+++ b/crates/policy/tests/test_hot_key.rs
@@ -68,6 +68,7 @@
                 tenant: None,
                 is_call: false,
                 priority: 2,
+                first_sent: now,
                 objective: now.plus(OBJECTIVE_MS),
                 deadline: now.plus(DEADLINE_MS),
                 work_ms: WORK_MS as f64,
--- a/crates/policy/tests/test_waiting.rs
+++ b/crates/policy/tests/test_waiting.rs
@@ -121,6 +121,7 @@
             tenant: sources[source].tenant.clone(),
             is_call: false,
             priority: sources[source].priority,
+            first_sent: sent,
             objective,
             deadline,
             work_ms: WORK_MS as f64,
