policy: find the shares of tenants by index

Cause: each look at the queue searched a tree for the tenant of each waiting request.

Change: tenants are kept in a vector; places of tenants that were idle for a minute are used again once there are 4,096.

Result: tests of jy-policy pass.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -117,7 +117,7 @@
     /// Class of the request, or the class of more urgent requests among which it is protected.
     class: u32,
     /// Id of its tenant in the shares.
-    tenant: Option<u32>,
+    tenant: Option<usize>,
     /// Whether the request goes before others because its tenant is starved.
     is_protected: bool,
     /// Whether the request may wait for a late answer.
--- a/crates/policy/src/shares.rs
+++ b/crates/policy/src/shares.rs
@@ -49,18 +49,23 @@
 /// again after some ten refusals.
 const MIN_CREDIT: f64 = -2.0;
 
-/// Number of tenants above which inactive ones are dropped.
+/// Number of tenants above which idle ones are dropped.
 const MAX_TENANTS: usize = 4_096;
 
+/// Tenants without a request for this time may be dropped, in milliseconds. No request waits for so long.
+const IDLE_MS: u64 = 60_000;
+
 /// Multiplier of a multiplicative hash (2^64 divided by the golden ratio).
 const HASH_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// Recent and usual work of all tenants at one backend server.
 #[derive(Clone, Debug, Default)]
 pub struct TenantShares {
-    ids: BTreeMap<Name, u32>,
-    tenants: BTreeMap<u32, TenantUse>,
-    next_id: u32,
+    ids: BTreeMap<Name, usize>,
+    /// Tenants by id.
+    tenants: Vec<TenantUse>,
+    /// Ids of dropped tenants.
+    free_ids: Vec<usize>,
     refreshed_at: Millis,
     /// Work that a tenant may have started recently even if it usually has less, in milliseconds.
     equal_ms: f64,
@@ -113,13 +118,13 @@
         slots: u32,
         class: u32,
         tenant: Option<&Name>,
-    ) -> Option<u32> {
+    ) -> Option<usize> {
         self.offered.add(now, 1.0);
         let tenant = tenant?;
         self.classes.insert(class, now);
         let id = self.id_of(now, tenant);
         let earned = PROTECTED_SHARE * self.share_served(now);
-        if let Some(work) = self.tenants.get_mut(&id) {
+        if let Some(work) = self.tenants.get_mut(id) {
             work.last_offered = now;
             work.credit = (work.credit + earned).min(MAX_CREDIT);
         }
@@ -133,13 +138,13 @@
     pub fn record_started(
         &mut self,
         now: Millis,
-        id: Option<u32>,
+        id: Option<usize>,
         work_ms: f64,
         is_protected: bool,
     ) {
         self.started.add(now, 1.0);
         let equal_ms = self.equal_ms;
-        let Some(work) = id.and_then(|id| self.tenants.get_mut(&id)) else {
+        let Some(work) = id.and_then(|id| self.tenants.get_mut(id)) else {
             return;
         };
         work.recent.add(now, work_ms);
@@ -153,8 +158,8 @@
 
     /// Takes the credit for one protected request. Returns whether there was any. A tenant above its share is not
     /// starved.
-    pub fn take_credit(&mut self, id: Option<u32>) -> bool {
-        let Some(work) = id.and_then(|id| self.tenants.get_mut(&id)) else {
+    pub fn take_credit(&mut self, id: Option<usize>) -> bool {
+        let Some(work) = id.and_then(|id| self.tenants.get_mut(id)) else {
             return false;
         };
         let is_enough = work.credit >= 1.0 && work.level == 0;
@@ -165,8 +170,8 @@
     }
 
     /// Returns the credit of a protected request that did not start.
-    pub fn return_credit(&mut self, id: Option<u32>) {
-        if let Some(work) = id.and_then(|id| self.tenants.get_mut(&id)) {
+    pub fn return_credit(&mut self, id: Option<usize>) {
+        if let Some(work) = id.and_then(|id| self.tenants.get_mut(id)) {
             work.credit = (work.credit + 1.0).min(MAX_CREDIT);
         }
     }
@@ -174,8 +179,8 @@
     /// Returns how far a tenant's recently started work exceeds its share: 0 if it does not, else one more for
     /// each doubling.
     #[must_use]
-    pub fn level(&self, id: Option<u32>) -> u8 {
-        let work = id.and_then(|id| self.tenants.get(&id));
+    pub fn level(&self, id: Option<usize>) -> u8 {
+        let work = id.and_then(|id| self.tenants.get(id));
         work.map_or(0, |work| work.level)
     }
 
@@ -198,35 +203,47 @@
     }
 
     /// Returns the id of a tenant, and adds the tenant if it is unknown.
-    fn id_of(&mut self, now: Millis, tenant: &Name) -> u32 {
+    fn id_of(&mut self, now: Millis, tenant: &Name) -> usize {
         if let Some(id) = self.ids.get(tenant) {
             return *id;
         }
-        if self.tenants.len() >= MAX_TENANTS {
-            self.tenants
-                .retain(|_, work| now.since(work.last_offered) <= ACTIVE_MS);
-            let tenants = &self.tenants;
-            self.ids.retain(|_, id| tenants.contains_key(id));
+        if self.ids.len() >= MAX_TENANTS {
+            self.drop_idle(now);
         }
-        let id = self.next_id;
-        self.next_id = self.next_id.wrapping_add(1);
-        self.ids.insert(Name::clone(tenant), id);
         let work = TenantUse {
             credit: initial_credit(now, tenant),
             ..TenantUse::default()
         };
-        self.tenants.insert(id, work);
+        let id = self.free_ids.pop().unwrap_or(self.tenants.len());
+        if id < self.tenants.len() {
+            self.tenants[id] = work;
+        } else {
+            self.tenants.push(work);
+        }
+        self.ids.insert(Name::clone(tenant), id);
         id
     }
 
+    /// Drops tenants without recent requests.
+    fn drop_idle(&mut self, now: Millis) {
+        let (tenants, free_ids) = (&self.tenants, &mut self.free_ids);
+        self.ids.retain(|_, id| {
+            let is_idle = now.since(tenants[*id].last_offered) > IDLE_MS;
+            if is_idle {
+                free_ids.push(*id);
+            }
+            !is_idle
+        });
+    }
+
     /// Computes the levels of all tenants.
     fn refresh(&mut self, now: Millis, slots: u32) {
         self.refreshed_at = now;
         let is_active = |work: &&TenantUse| now.since(work.last_offered) <= ACTIVE_MS;
-        let active = self.tenants.values().filter(is_active).count().max(1);
+        let active = self.tenants.iter().filter(is_active).count().max(1);
         let window_ms = RECENT_HALF_LIFE_MS as f64 / std::f64::consts::LN_2;
         self.equal_ms = f64::from(slots) * window_ms / active as f64;
-        for work in self.tenants.values_mut() {
+        for work in &mut self.tenants {
             work.update_level(now, self.equal_ms);
         }
     }
