edge, docs: log and count why the gate refused a request

Cause: the gate's line said that a request was refused as overloaded, but not whether it had waited, behind what, or whether its tenant was above its share.

Change: the line has refused, backlog_ms, free_percent, tenant and tenant_level; three metrics count waiting and refused requests.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -494,6 +494,9 @@
             .set(gauge_value(self.member.authority().since(now)));
         metrics.gate_busy.set(i64::from(load.busy));
         metrics.gate_used_percent.set(i64::from(load.used_percent));
+        let (waiting, waiting_late) = self.gate.waiting();
+        metrics.gate_waiting.set(i64::from(waiting));
+        metrics.gate_waiting_late.set(i64::from(waiting_late));
         metrics
             .ranges
             .set(gauge_value(self.owned_ranges(&snapshot)));
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -40,6 +40,7 @@
 use crate::forward::GateReport;
 use crate::forward::NotRunCause;
 use crate::metrics::EdgeMetrics;
+use crate::queue_wait::QueueRefusal;
 use crate::request_log::RequestLog;
 use crate::snapshot::FleetSnapshot;
 
@@ -170,20 +171,23 @@
         let started_at = clock::now();
         let id = Name::clone(&job.id);
         let (key, deadline) = (job.key, job.deadline);
-        let outcome = self.serve_job(job).await;
+        let tenant = job.tenant.clone();
+        let mut refusal = None;
+        let outcome = self.serve_job(job, &mut refusal).await;
         let now = clock::now();
         let load = self.load(now);
         if !matches!(outcome, GateOutcome::Answered(_)) {
             self.request_log.write(now, false, || {
                 format!(
                     "id={id} at=gate end={} key={key:?} waited_ms={} left_ms={} busy={} slots={} \
-                     used_percent={} {}",
+                     used_percent={} {}{}",
                     outcome.log_text(),
                     now.since(started_at),
                     deadline.since(now),
                     load.busy,
                     load.slots,
                     load.used_percent,
+                    refusal.map_or_else(String::new, |refusal| refusal.log_text(tenant.as_deref())),
                     self.describe_backend(now),
                 )
             });
@@ -214,8 +218,12 @@
         })
     }
 
-    /// Admits, queues and dispatches one request.
-    async fn serve_job(self: &Rc<Self>, job: GateJob) -> GateOutcome {
+    /// Admits, queues and dispatches one request. Sets `refusal` if the queue refuses it.
+    async fn serve_job(
+        self: &Rc<Self>,
+        job: GateJob,
+        refusal: &mut Option<QueueRefusal>,
+    ) -> GateOutcome {
         let not_run = |cause, retry_ms| GateOutcome::NotRun { cause, retry_ms };
         if let Err(cause) = self.wait_until_dispatchable(&job).await {
             let retry_ms = if cause == NotRunCause::NotHolder {
@@ -246,17 +254,21 @@
         };
         let (guard, start_signal) = match self.enqueue(now, admission_request.clone()) {
             Ok(queued) => queued,
-            Err(retry_ms) => return not_run(NotRunCause::Overloaded, retry_ms),
+            Err(retry_ms) => {
+                *refusal = Some(self.count_refusal(now, "at-once", &admission_request));
+                return not_run(NotRunCause::Overloaded, retry_ms);
+            }
         };
         self.start_queued();
         let left_ms = job.deadline.since(now);
         let share_ms = (left_ms as f64 * MAX_QUEUE_WAIT_SHARE) as u64;
         let max_wait_ms = left_ms.saturating_sub(work_ms as u64).min(share_ms);
         let wait_until = now.plus(max_wait_ms);
-        let has_started = self
+        let started = self
             .wait_for_start(guard.ticket, wait_until, start_signal)
             .await;
-        if !has_started {
+        if let Err(point) = started {
+            *refusal = Some(self.count_refusal(clock::now(), point, &admission_request));
             let retry_ms = self.retry_ms_after_wait(now, &admission_request);
             return not_run(NotRunCause::Overloaded, retry_ms);
         }
@@ -427,39 +439,6 @@
         }
     }
 
-    /// Waits until a queued request may start. Returns false if it is refused, or if it has not started at
-    /// `wait_until` and the forecast does not say that it will.
-    async fn wait_for_start(
-        &self,
-        ticket: u64,
-        mut wait_until: Millis,
-        mut start_signal: oneshot::Receiver<()>,
-    ) -> bool {
-        loop {
-            let wait_ms = wait_until.since(clock::now()).max(1);
-            let waited = timeout(Duration::from_millis(wait_ms), &mut start_signal).await;
-            if let Ok(signal) = waited {
-                return signal.is_ok();
-            }
-            let state = self.state.borrow();
-            match state.queue.wait_longer(clock::now(), ticket) {
-                Some(until) => wait_until = until,
-                None => return false,
-            }
-        }
-    }
-
-    /// Returns the retry delay of a request that arrived at `offered_at`, waited and was refused, in milliseconds.
-    fn retry_ms_after_wait(&self, offered_at: Millis, request: &AdmissionRequest) -> u64 {
-        let mut state = self.state.borrow_mut();
-        let place_ms = if request.leaves_room(offered_at) {
-            state.queue.assign_retry(clock::now(), request)
-        } else {
-            None
-        };
-        place_ms.unwrap_or(request.work_ms as u64)
-    }
-
     /// Starts as many queued requests as the slots and the cold start limit allow.
     fn start_queued(self: &Rc<Self>) {
         let now = clock::now();
@@ -531,6 +510,13 @@
         }
     }
 
+    /// Returns the number of waiting requests, and of those that will be late.
+    #[must_use]
+    pub fn waiting(&self) -> (u32, u32) {
+        let state = self.state.borrow();
+        (state.queue.waiting(), state.queue.waiting_late())
+    }
+
     /// Returns the share of the capacity in use, and the share that each bucket of keys uses.
     #[must_use]
     pub fn usage(&self, now: Millis) -> (f64, BTreeMap<u16, f64>) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod lost_owners;
 pub mod member;
 pub mod metrics;
+mod queue_wait;
 pub mod quota;
 pub mod range_manager;
 pub mod refusal;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -23,6 +23,13 @@
     pub outcome: String,
 }
 
+/// Labels of the counter of requests that the gate's queue refused.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RefusalLabels {
+    /// When it was refused: `at-once`, `overtaken` or `waited`.
+    pub point: &'static str,
+}
+
 /// All metrics of an agent.
 #[derive(Debug)]
 pub struct EdgeMetrics {
@@ -51,6 +58,12 @@
     pub gate_busy: Gauge,
     /// Share of the backend server's capacity in use, in percent.
     pub gate_used_percent: Gauge,
+    /// Requests that wait at the gate.
+    pub gate_waiting: Gauge,
+    /// Requests that wait at the gate although they will be late.
+    pub gate_waiting_late: Gauge,
+    /// Requests that the gate's queue refused.
+    pub gate_refused: Family<RefusalLabels, Counter>,
     /// Ranges of keys that the backend server owns.
     pub ranges: Gauge,
 }
@@ -74,6 +87,9 @@
             authority_ms: Gauge::default(),
             gate_busy: Gauge::default(),
             gate_used_percent: Gauge::default(),
+            gate_waiting: Gauge::default(),
+            gate_waiting_late: Gauge::default(),
+            gate_refused: Family::default(),
             ranges: Gauge::default(),
         };
         metrics.register();
@@ -123,6 +139,21 @@
             "Capacity in use",
             self.gate_used_percent.clone(),
         );
+        registry.register(
+            "gate_waiting",
+            "Requests waiting at the gate",
+            self.gate_waiting.clone(),
+        );
+        registry.register(
+            "gate_waiting_late",
+            "Waiting requests that will be late",
+            self.gate_waiting_late.clone(),
+        );
+        registry.register(
+            "gate_refused",
+            "Requests that the gate's queue refused",
+            self.gate_refused.clone(),
+        );
         registry.register("ranges", "Ranges of keys owned", self.ranges.clone());
     }
 
@@ -135,6 +166,12 @@
         self.requests.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that the gate's queue refused.
+    pub fn count_gate_refusal(&self, point: &'static str) {
+        let labels = RefusalLabels { point };
+        self.gate_refused.get_or_create(&labels).inc();
+    }
+
     /// Encodes all metrics as text.
     ///
     /// # Errors
--- a/crates/edge/tests/test_metrics.rs
+++ b/crates/edge/tests/test_metrics.rs
@@ -9,6 +9,7 @@
 fn to_text_names_are_documented() {
     let metrics = EdgeMetrics::new();
     metrics.count("r", "answered");
+    metrics.count_gate_refusal("at-once");
     let text = metrics.to_text().expect("metrics can be encoded");
     let help_lines = text
         .lines()
@@ -16,7 +17,7 @@
     let names: Vec<&str> = help_lines
         .filter_map(|line| line.split(' ').next())
         .collect();
-    expect_that!(names.len(), eq(13));
+    expect_that!(names.len(), eq(16));
     for name in names {
         expect_that!(
             OPERATIONS_PAGE,
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -86,6 +86,17 @@
     },
 }
 
+/// What a request has to wait behind, for logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WaitReport {
+    /// Waiting work of the request's class and of more urgent ones, in milliseconds.
+    pub backlog_ms: u64,
+    /// Share of the capacity that on-time work of these classes leaves free, in percent; `None` if it is not known yet.
+    pub free_percent: Option<u32>,
+    /// How far its tenant exceeds its share: 0 if it does not, else one more for each doubling.
+    pub tenant_level: u8,
+}
+
 /// Slots that are reserved for brief urgent work while such work arrives.
 const RESERVED_SLOTS: u32 = 1;
 
@@ -187,6 +198,31 @@
         u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
     }
 
+    /// Returns the number of requests that wait although they will be late.
+    #[must_use]
+    pub fn waiting_late(&self) -> u32 {
+        let late = self.waiting.iter().filter(|work| work.waits_late).count();
+        u32::try_from(late).unwrap_or(u32::MAX)
+    }
+
+    /// Returns what a request has to wait behind.
+    #[must_use]
+    pub fn report(&self, now: Millis, request: &AdmissionRequest) -> WaitReport {
+        let class = class_of(request);
+        let free_share = self.forecast.free_share(now, class);
+        WaitReport {
+            backlog_ms: self.backlog_ms(class) as u64,
+            free_percent: free_share.map(|share| (share * 100.0) as u32),
+            tenant_level: self.shares.level(self.shares.find(request.tenant.as_ref())),
+        }
+    }
+
+    /// Returns the waiting work of a class and of more urgent ones, in milliseconds.
+    fn backlog_ms(&self, class: u32) -> f64 {
+        let ahead = self.waiting.iter().filter(|work| work.class <= class);
+        ahead.map(|work| work.request.work_ms).sum()
+    }
+
     /// Queues a request, or refuses it if the requests ahead of it leave it too little time.
     pub fn offer(&mut self, now: Millis, ticket: u64, request: AdmissionRequest) -> Admission {
         let class = class_of(&request);
@@ -242,11 +278,9 @@
         let class = class_of(request);
         let free_share = self.forecast.free_share(now, class)?;
         let free_slots = f64::from(self.slots) * free_share;
-        let ahead = self.waiting.iter().filter(|work| work.class <= class);
-        let ahead_ms: f64 = ahead.map(|work| work.request.work_ms).sum();
         let longest_ms = request.deadline.since(now) as f64 * MAX_RETRY_SHARE;
         let window = ReturnWindow {
-            earliest: now.plus((ahead_ms / free_slots) as u64),
+            earliest: now.plus((self.backlog_ms(class) / free_slots) as u64),
             latest: now.plus(longest_ms as u64),
         };
         let spacing_ms = request.work_ms / free_slots;
--- a/crates/policy/src/shares.rs
+++ b/crates/policy/src/shares.rs
@@ -176,6 +176,12 @@
         }
     }
 
+    /// Returns the id of a tenant, if it is known.
+    #[must_use]
+    pub fn find(&self, tenant: Option<&Name>) -> Option<usize> {
+        self.ids.get(tenant?).copied()
+    }
+
     /// Returns how far a tenant's recently started work exceeds its share: 0 if it does not, else one more for
     /// each doubling.
     #[must_use]
