policy: judge usual work of tenants from ten seconds on

Cause: the usual work of a tenant was underestimated for minutes after an agent's start, so that a large tenant within its usual load counted as above its share.

Change: the average is corrected for the time since the tenant's first request, of ten seconds at least; work above the share counts half.

Result: tests of jy-policy and jy-edge pass.

--- a/crates/policy/src/shares.rs
+++ b/crates/policy/src/shares.rs
@@ -17,6 +17,10 @@
 /// Half-life of the usual work: much longer than most overloads last.
 const USUAL_HALF_LIFE_MS: u64 = 60_000;
 
+/// Least time over which a tenant's usual work is averaged, in milliseconds: as long as an overload may last, so that a
+/// tenant that begins with one doesn't take it for its usual work at once.
+const MIN_USUAL_MS: u64 = 10_000;
+
 /// Half-life of the counts of requests from which the share of requests served is computed.
 const SERVED_HALF_LIFE_MS: u64 = 5_000;
 
@@ -83,6 +87,7 @@
     usual: DecayingSum<USUAL_HALF_LIFE_MS>,
     /// Work of the last started request, in milliseconds.
     request_ms: f64,
+    first_offered: Millis,
     last_offered: Millis,
     level: u8,
     /// Number of requests that may be protected.
@@ -93,7 +98,10 @@
     /// Computes how far the recently started work exceeds the tenant's share.
     fn update_level(&mut self, now: Millis, equal_ms: f64) {
         let window_ms = RECENT_HALF_LIFE_MS as f64 / std::f64::consts::LN_2;
-        let usual_ms = self.usual.rate(now) * window_ms * USUAL_MARGIN;
+        let age_ms = now.since(self.first_offered).max(MIN_USUAL_MS) as f64;
+        // The sum has not reached its steady value yet if the tenant has just come.
+        let weight = 1.0 - 0.5_f64.powf(age_ms / USUAL_HALF_LIFE_MS as f64);
+        let usual_ms = self.usual.rate(now) / weight * window_ms * USUAL_MARGIN;
         let share_ms = usual_ms.max(equal_ms).max(1.0);
         let ratio = (self.recent.value(now) - SPARE_REQUESTS * self.request_ms) / share_ms;
         self.level = if ratio <= 1.0 {
@@ -148,7 +156,9 @@
             return;
         };
         work.recent.add(now, work_ms);
-        work.usual.add(now, work_ms);
+        // Work above the share counts half, or an overload that lasts would become usual while it does.
+        let usual_share = if work.level == 0 { 1.0 } else { 0.5 };
+        work.usual.add(now, work_ms * usual_share);
         work.request_ms = work_ms;
         if !is_protected {
             work.credit = (work.credit - 1.0).max(MIN_CREDIT);
@@ -218,6 +228,7 @@
         }
         let work = TenantUse {
             credit: initial_credit(now, tenant),
+            first_offered: now,
             ..TenantUse::default()
         };
         let id = self.free_ids.pop().unwrap_or(self.tenants.len());
