--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -41,6 +41,7 @@
 use crate::forward::GateReport;
 use crate::forward::NotRunCause;
 use crate::metrics::EdgeMetrics;
+use crate::queue_wait::QueueRefusal;
 use crate::request_log::RequestLog;
 use crate::snapshot::FleetSnapshot;
 
@@ -171,20 +172,23 @@
         let started_at = clock::now();
         let id = Name::clone(&job.id);
         let (key, deadline) = (job.key, job.deadline);
-        let outcome = self.serve_job(job).await;
+        let tenant = job.tenant.clone();
+        let mut refusal = None;
+        let outcome = self.serve_job(job, &mut refusal).await;
         let now = clock::now();
         let load = self.load(now);
         if !matches!(outcome, GateOutcome::Answered(_)) {
             self.request_log.write(now, false, || {
                 format!(
                     "id={id} at=gate end={} key={key:?} waited_ms={} left_ms={} busy={} slots={} \
-                     used_percent={} {}",
+                     used_percent={} {}{}",
                     outcome.log_text(),
                     now.since(started_at),
                     deadline.since(now),
                     load.busy,
                     load.slots,
                     load.used_percent,
+                    refusal.map_or_else(String::new, |refusal| refusal.log_text(tenant.as_deref())),
                     self.describe_backend(now),
                 )
             });
@@ -215,8 +219,12 @@
         })
     }
 
-    /// Admits, queues and dispatches one request.
-    async fn serve_job(self: &Rc<Self>, job: GateJob) -> GateOutcome {
+    /// Admits, queues and dispatches one request. Sets `refusal` if the queue refuses it.
+    async fn serve_job(
+        self: &Rc<Self>,
+        job: GateJob,
+        refusal: &mut Option<QueueRefusal>,
+    ) -> GateOutcome {
         let not_run = |cause, retry_ms| GateOutcome::NotRun { cause, retry_ms };
         if let Err(cause) = self.wait_until_dispatchable(&job).await {
             let retry_ms = if cause == NotRunCause::NotHolder {
@@ -237,28 +245,37 @@
             state.offered_work.add(now, job.key.map(bucket_of), work_ms);
         }
         let admission_request = AdmissionRequest {
+            tenant: job.tenant.clone(),
+            is_call: false,
             priority: rule.priority,
+            first_sent: job.deadline.minus(rule.timeout_ms),
             objective: job.objective,
             deadline: job.deadline,
             work_ms,
         };
-        let (guard, start_signal) = match self.enqueue(now, admission_request) {
+        let (guard, start_signal) = match self.enqueue(now, admission_request.clone()) {
             Ok(queued) => queued,
-            Err(retry_ms) => return not_run(NotRunCause::Overloaded, retry_ms),
+            Err(retry_ms) => {
+                *refusal = Some(self.count_refusal(now, "at-once", &admission_request));
+                return not_run(NotRunCause::Overloaded, retry_ms);
+            }
         };
         self.start_queued();
         let left_ms = job.deadline.since(now);
         let share_ms = (left_ms as f64 * MAX_QUEUE_WAIT_SHARE) as u64;
-        let max_wait_ms = left_ms
-            .saturating_sub(work_ms as u64)
-            .min(share_ms)
-            .min(job.key_valid_until.since(now));
-        let waited = timeout(Duration::from_millis(max_wait_ms.max(1)), start_signal).await;
-        if !matches!(waited, Ok(Ok(()))) {
+        let max_wait_ms = left_ms.saturating_sub(work_ms as u64).min(share_ms);
+        let latest = job.key_valid_until;
+        let wait_until = now.plus(max_wait_ms).min(latest);
+        let started = self
+            .wait_for_start(guard.ticket, wait_until, latest, start_signal)
+            .await;
+        if let Err(point) = started {
             if !may_dispatch(clock::now(), job.key_valid_until) {
                 return not_run(NotRunCause::KeyExpired, UNAVAILABLE_RETRY_MS);
             }
-            return not_run(NotRunCause::Overloaded, work_ms as u64);
+            *refusal = Some(self.count_refusal(clock::now(), point, &admission_request));
+            let retry_ms = self.retry_ms_after_wait(now, &admission_request);
+            return not_run(NotRunCause::Overloaded, retry_ms);
         }
         if let Err(cause) = self.check_dispatchable(clock::now(), &job) {
             return not_run(cause, UNAVAILABLE_RETRY_MS);
@@ -503,6 +520,13 @@
         }
     }
 
+    /// Returns the number of waiting requests, and of those that will be late.
+    #[must_use]
+    pub fn waiting(&self) -> (u32, u32) {
+        let state = self.state.borrow();
+        (state.queue.waiting(), state.queue.waiting_late())
+    }
+
     /// Returns the share of the capacity in use, and the share that each bucket of keys uses.
     #[must_use]
     pub fn usage(&self, now: Millis) -> (f64, BTreeMap<u16, f64>) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,12 +6,15 @@
 //! - [`choice`]: load balancing among backend servers of different speeds.
 //! - [`cold`]: rate limit for a backend server in cold start.
 //! - [`key_check`]: requests with API keys while the configuration may be too old.
+//! - [`forecast`]: capacity that is left for late requests.
 //! - [`leaving`]: requests for the keys of a backend server that leaves.
 //! - [`moving`]: waiting for keys that move between backend servers.
 //! - [`offered`]: measurement of offered work and overload.
 //! - [`outage`]: calls to a store that does not answer.
+//! - [`places`]: when refused callers are to return.
 //! - [`service_time`]: moving mean of service times.
 //! - [`settling`]: completeness of a starting fleet.
+//! - [`shares`]: shares of tenants in one backend server, and protection of less urgent ones.
 //! - [`transfer`]: admission of large bodies to a slow network link.
 
 pub mod admission;
@@ -20,11 +23,15 @@
 pub mod choice;
 pub mod cold;
 pub mod cold_check;
+mod decay;
+pub mod forecast;
 pub mod key_check;
 pub mod leaving;
 pub mod moving;
 pub mod offered;
 pub mod outage;
+pub mod places;
 pub mod service_time;
 pub mod settling;
+pub mod shares;
 pub mod transfer;
