http, edge: mark calls of running requests by their peer address

A gate cannot tell a call of a running request from a new request, although a call that fails wastes the run that made it.

Change: a listener passes the address of the connection's other end with each request. The gateway marks a request that comes from the address of the backend server beside it (setting `backend`), once that server has announced itself, on public routes of configurations with tenants. The header `jy-call` carries the mark to other gates (`GateJob::is_call`); callers can't set it. The mark is off if the backend server's address is 127.0.0.1 or ::1, which is the source of any local process, as in the soak and the demo. The gate does not use the mark yet: the line for `AdmissionRequest` is a TODO.

Tests: jy-http and jy-edge, all passed, among them handler_peer_is_address_of_caller, serve_call_of_running_request_is_marked and serve_request_of_caller_is_not_marked.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -31,6 +31,8 @@
 const OBJECTIVE_MS_HEADER: &str = "jy-objective-ms";
 /// Shard key, for services divided by key.
 const KEY_HEADER: &str = "jy-key";
+/// Marks a call of a request that runs at the backend server beside the gateway.
+const CALL_HEADER: &str = "jy-call";
 /// Outcome at the gate: `answered`, `not-run` or `unknown`.
 const OUTCOME_HEADER: &str = "jy-outcome";
 /// Why the request was not run, or why its outcome is unknown.
@@ -43,7 +45,7 @@
 
 /// Headers that are used between agents only. They are removed from callers' requests, and from forwarded
 /// requests and their answers after decoding, so that none leaves the fleet.
-const PEER_HEADERS: [&str; 12] = [
+const PEER_HEADERS: [&str; 13] = [
     FORWARDED_HEADER,
     ROUTE_HEADER,
     SERVICE_HEADER,
@@ -51,6 +53,7 @@
     LEFT_MS_HEADER,
     OBJECTIVE_MS_HEADER,
     KEY_HEADER,
+    CALL_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
     RETRY_MS_HEADER,
@@ -82,6 +85,8 @@
     pub origin: Name,
     /// Shard key, for services divided by key.
     pub key: Option<u16>,
+    /// Whether it is a call of a request that runs at the backend server beside the gateway.
+    pub is_call: bool,
     /// Tenant that holds the caller's API key; `None` if the request needs no key.
     pub tenant: Option<Name>,
     /// The request must not be dispatched after this point, since its API key may have been withdrawn.
@@ -283,6 +288,9 @@
     if let Some(key) = job.key {
         set_header(headers, KEY_HEADER, &key.to_string());
     }
+    if job.is_call {
+        set_header(headers, CALL_HEADER, "1");
+    }
 }
 
 /// Decodes a job from an HTTP request. Returns `None` if a required header is missing or invalid.
@@ -295,6 +303,7 @@
     let left_ms: u64 = text(LEFT_MS_HEADER)?.parse().ok()?;
     let objective_ms: u64 = text(OBJECTIVE_MS_HEADER)?.parse().ok()?;
     let key = text(KEY_HEADER).and_then(|key| key.parse().ok());
+    let is_call = text(CALL_HEADER) == Some("1");
     remove_peer_headers(&mut request.headers);
     Some(GateJob {
         request,
@@ -303,6 +312,7 @@
         service,
         origin,
         key,
+        is_call,
         tenant: None,
         key_valid_until: Millis::MAX,
         objective: received_at.plus(objective_ms),
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -240,6 +240,7 @@
             objective: job.objective,
             deadline: job.deadline,
             work_ms,
+            // TODO: pass the mark once the queue puts calls first: `is_call: job.is_call,`
         };
         let (guard, start_signal) = match self.enqueue(now, admission_request) {
             Ok(queued) => queued,
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -50,6 +50,7 @@
 use crate::refusal;
 use crate::request_log::RequestLog;
 
+mod calls;
 mod selection;
 
 /// Limit on the gates asked for one request. A gate refuses at once if it can't serve a request in time.
@@ -285,6 +286,7 @@
             .time_left_ms
             .unwrap_or(u64::MAX)
             .min(rule.timeout_ms);
+        let is_call = self.is_call(&request, &routes, rule);
         let job = GateJob {
             request,
             id,
@@ -292,6 +294,7 @@
             service,
             origin: Name::clone(&self.origin.borrow()),
             key: caller_headers.key,
+            is_call,
             tenant: None,
             key_valid_until: Millis::MAX,
             objective: received_at.plus(rule.objective_ms.min(left_ms)),
@@ -431,7 +434,7 @@
             let snapshot = self.snapshot.borrow();
             format!(
                 "id={} route={} service={} key={:?} status={status} outcome={outcome_name} last={} \
-                 asked={:?} offered={} elapsed_ms={elapsed_ms} beliefs={} configuration={}",
+                 asked={:?} offered={} elapsed_ms={elapsed_ms} beliefs={} configuration={} call={}",
                 call.job.id,
                 call.rule.name,
                 call.job.service,
@@ -441,6 +444,7 @@
                 call.backends_reached,
                 snapshot.revision,
                 snapshot.routes.as_ref().map_or(0, |routes| routes.version),
+                call.job.is_call,
             )
         });
     }
--- /dev/null
+++ b/crates/edge/src/gateway/calls.rs
@@ -0,0 +1,43 @@
+//! Distinguishes calls of requests that run at the backend server beside the agent from requests of callers.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::Ipv6Addr;
+
+use jy_http::message::HttpRequest;
+use jy_types::routing::RouteRule;
+use jy_types::routing::RouteTable;
+
+use super::CallerGateway;
+
+impl CallerGateway {
+    /// Whether a request is certainly a call of a request that runs at the backend server beside the agent: it
+    /// comes from that server's own address, on a public route of a configuration with tenants, and the server
+    /// has announced itself.
+    ///
+    /// All requests of one connection have the same peer, so a connection that the backend server opened before
+    /// its first announcement is marked from then on. Marking only later connections would leave a pooled
+    /// connection unmarked for as long as it is used after a restart of the agent.
+    pub(super) fn is_call(
+        &self,
+        request: &HttpRequest,
+        routes: &RouteTable,
+        rule: &RouteRule,
+    ) -> bool {
+        let backend = self.gate.address.get().ip().to_canonical();
+        let is_from_backend = request
+            .peer
+            .is_some_and(|peer| peer.ip().to_canonical() == backend);
+        is_from_backend
+            && routes.tenants.is_some()
+            && rule.public
+            && !is_shared(backend)
+            && self.gate.backend.read(|state| state.is_some())
+    }
+}
+
+/// Whether connections of other processes may come from an address too. Connections to any loopback address come
+/// from 127.0.0.1 or `::1` unless the process chooses another source.
+fn is_shared(address: IpAddr) -> bool {
+    address.is_unspecified() || address == Ipv4Addr::LOCALHOST || address == Ipv6Addr::LOCALHOST
+}
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -15,6 +15,7 @@
 use jy_edge::forward::GateOutcome;
 use jy_edge::forward::GateReport;
 use jy_edge::forward::NotRunCause;
+use jy_edge::forward::decode_job;
 use jy_edge::forward::encode_report;
 use jy_edge::forward::is_forwarded;
 use jy_edge::forward::remove_peer_headers;
@@ -36,6 +37,7 @@
 use jy_policy::budget::BudgetLimits;
 use jy_ranges::table::RangeOwner;
 use jy_ranges::table::RangeTable;
+use jy_types::endpoint::Announcement;
 use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::BackendPhase;
 use jy_types::endpoint::InstanceRecord;
@@ -45,6 +47,7 @@
 use jy_types::routing::RouteTable;
 use jy_types::routing::RouteTarget;
 use jy_types::routing::ServiceRule;
+use jy_types::tenant::TenantTable;
 use jy_types::time::Millis;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -159,13 +162,22 @@
 
 /// Builds a gateway with the given snapshot and no backend server beside it.
 fn gateway(snapshot: FleetSnapshot) -> Rc<CallerGateway> {
+    let backend = LocalBackend::new("own".into(), Millis(0), 10_000, 1_000);
+    let unused_address = SocketAddr::from(([127, 0, 0, 1], 9));
+    gateway_beside(snapshot, Rc::new(backend), unused_address)
+}
+
+/// Builds a gateway with the given snapshot beside the backend server at `address`.
+fn gateway_beside(
+    snapshot: FleetSnapshot,
+    backend: Rc<LocalBackend>,
+    address: SocketAddr,
+) -> Rc<CallerGateway> {
     let snapshot: Rc<SnapshotSender> = Rc::new(watch::Sender::new(Rc::new(snapshot)));
     let metrics = Rc::new(EdgeMetrics::new());
-    let backend = Rc::new(LocalBackend::new("own".into(), Millis(0), 10_000, 1_000));
-    let unused_address = SocketAddr::from(([127, 0, 0, 1], 9));
     let gate = LocalGate::new(
         "z".into(),
-        unused_address,
+        address,
         backend,
         Rc::clone(&snapshot),
         Rc::clone(&metrics),
@@ -431,3 +443,87 @@
     remove_peer_headers(&mut request.headers);
     expect_that!(is_forwarded(&request), eq(false));
 }
+
+/// Sends a request from `peer` through a gateway beside a backend server at `backend` that announced itself if
+/// `is_heard`. Returns whether the request arrived at the other gate with the mark of calls.
+fn is_marked(peer: [u8; 4], backend: [u8; 4], routes: RouteTable, is_heard: bool) -> bool {
+    actix_rt::System::new().block_on(async {
+        let marked: Rc<Cell<bool>> = Rc::default();
+        let recorded = Rc::clone(&marked);
+        let gate = serve_gate(Rc::new(move |request: HttpRequest, received_at| {
+            let job = decode_job(request, "r1".into(), received_at);
+            recorded.set(job.is_some_and(|job| job.is_call));
+            let report = GateReport {
+                outcome: answered(),
+                load: None,
+            };
+            Box::pin(async move { encode_report(report) })
+        }))
+        .await;
+        let address = SocketAddr::from((backend, 8_080));
+        let backend = Rc::new(LocalBackend::new("own".into(), Millis(0), 10_000, 1_000));
+        if is_heard {
+            let announced = Announcement {
+                incarnation: incarnation(),
+                address,
+                service: "s".into(),
+                zone: "z".into(),
+                slots: 4,
+                phase: BackendPhase::Serving,
+                sequence: 1,
+                cold_ms: 0,
+                held: Vec::new(),
+                released: Vec::new(),
+            };
+            let _outcome = backend.announce(clock::now(), address, announced, None, Millis::MAX);
+        }
+        let gateway = gateway_beside(snapshot(routes, gate, None), backend, address);
+        let request = HttpRequest::new(Method::GET, "/p/x")
+            .with_header("host", "h.example")
+            .with_header("x-request-id", "r1")
+            .with_header("x-deadline-ms", "1000")
+            .with_header("jy-call", "1")
+            .with_peer(SocketAddr::from((peer, 40_000)));
+        let response = gateway.serve(request, clock::now()).await;
+        expect_that!(response.status, eq(StatusCode::OK));
+        marked.get()
+    })
+}
+
+/// Builds a configuration with tenants and one public route.
+fn public_routes() -> RouteTable {
+    let mut routes = routes(false, true);
+    routes.routes[0].public = true;
+    routes.tenants = Some(TenantTable::default());
+    routes
+}
+
+/// A call that fails wastes the run that made it, so its gate must know that it is one.
+#[gtest]
+fn serve_call_of_running_request_is_marked() {
+    let backend = [10, 0, 0, 9];
+    expect_that!(is_marked(backend, backend, public_routes(), true), eq(true));
+    expect_that!(
+        is_marked(backend, backend, public_routes(), false),
+        eq(false),
+        "nothing has shown that a backend server has the address"
+    );
+}
+
+/// Guards against callers that get ahead of all others by a header, or since they share an address.
+#[gtest]
+fn serve_request_of_caller_is_not_marked() {
+    let (caller, backend) = ([10, 0, 0, 8], [10, 0, 0, 9]);
+    expect_that!(is_marked(caller, backend, public_routes(), true), eq(false));
+    let loopback = [127, 0, 0, 1];
+    expect_that!(
+        is_marked(loopback, loopback, public_routes(), true),
+        eq(false)
+    );
+    let mut keyed_routes = public_routes();
+    keyed_routes.routes[0].public = false;
+    expect_that!(is_marked(backend, backend, keyed_routes, true), eq(false));
+    let mut plain_routes = public_routes();
+    plain_routes.tenants = None;
+    expect_that!(is_marked(backend, backend, plain_routes, true), eq(false));
+}
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -1,6 +1,7 @@
 //! Complete HTTP requests and responses, and functions for their headers.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 
 use actix_http::Method;
 use actix_http::ServiceConfig;
@@ -38,6 +39,9 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// Address of the other end of the connection that a listener read the request from; `None` if no listener
+    /// did.
+    pub peer: Option<SocketAddr>,
 }
 
 /// A complete response.
@@ -60,6 +64,7 @@
             target: target.into(),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            peer: None,
         }
     }
 
@@ -77,6 +82,13 @@
         self
     }
 
+    /// Sets the address of the other end of the connection.
+    #[must_use]
+    pub const fn with_peer(mut self, peer: SocketAddr) -> Self {
+        self.peer = Some(peer);
+        self
+    }
+
     /// Returns the path without its query.
     #[must_use]
     pub fn path(&self) -> &str {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -184,9 +184,9 @@
                 _ = closing.wait_for(|closing| *closing) => return,
             };
             match accepted {
-                Ok((stream, _)) => {
+                Ok((stream, peer)) => {
                     let listener = self.clone();
-                    actix_rt::spawn(async move { listener.serve_connection(stream).await });
+                    actix_rt::spawn(async move { listener.serve_connection(stream, peer).await });
                 }
                 Err(error) => {
                     log::warn!("failed to accept a connection: {error}");
@@ -197,12 +197,13 @@
     }
 
     /// Serves one connection until it is closed.
-    async fn serve_connection(&self, stream: TcpStream) {
+    async fn serve_connection(&self, stream: TcpStream, peer: SocketAddr) {
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("failed to set TCP_NODELAY on a connection: {error}");
         }
         let mut caller = CallerConnection {
             stream,
+            peer,
             codec: Codec::new(codec_config()),
             buffer: BytesMut::new(),
         };
@@ -275,6 +276,7 @@
 /// One caller's connection.
 struct CallerConnection {
     stream: TcpStream,
+    peer: SocketAddr,
     codec: Codec,
     buffer: BytesMut,
 }
@@ -359,6 +361,7 @@
             target,
             headers: std::mem::take(request.headers_mut()),
             body,
+            peer: Some(self.peer),
         };
         Ok((request, body_share))
     }
--- a/crates/http/tests/test_server.rs
+++ b/crates/http/tests/test_server.rs
@@ -33,13 +33,22 @@
 ///
 /// If no port can be bound.
 async fn listener(started: Rc<Cell<usize>>) -> SocketAddr {
-    let handle: Handler = Rc::new(move |_, _| {
+    serve(Rc::new(move |_, _| {
         let started = Rc::clone(&started);
         Box::pin(async move {
             started.set(started.get() + 1);
             HttpResponse::new(StatusCode::OK, "done")
         })
-    });
+    }))
+    .await
+}
+
+/// Starts a listener that handles each request with `handle`.
+///
+/// # Panics
+///
+/// If no port can be bound.
+async fn serve(handle: Handler) -> SocketAddr {
     let address = {
         let probe = std::net::TcpListener::bind("127.0.0.1:0").expect("failed to bind a free port");
         probe.local_addr().expect("failed to get the local address")
@@ -114,6 +123,34 @@
     expect_that!(response, starts_with("HTTP/1.1 200 OK"));
 }
 
+/// Guards against calls of running requests that are taken for those of other callers, or the reverse.
+#[gtest]
+fn handler_peer_is_address_of_caller() {
+    actix_rt::System::new().block_on(async {
+        let address = serve(Rc::new(|request, _| {
+            let peer = request
+                .peer
+                .map_or_else(String::new, |peer| peer.to_string());
+            Box::pin(async move { HttpResponse::new(StatusCode::OK, &peer) })
+        }))
+        .await;
+        let mut caller = TcpStream::connect(address).expect("failed to connect to the listener");
+        let own_address = caller
+            .local_addr()
+            .expect("failed to get the local address");
+        caller
+            .write_all(b"GET /p HTTP/1.1\r\nhost: h\r\n\r\n")
+            .expect("failed to write the request");
+        sleep(Duration::from_millis(HANDLING_TIME_MS)).await;
+        let mut response = [0; 1024];
+        let length = caller
+            .read(&mut response)
+            .expect("failed to read the response");
+        let text = String::from_utf8_lossy(&response[..length]).into_owned();
+        expect_that!(text, ends_with(&*own_address.to_string()));
+    });
+}
+
 #[gtest]
 fn request_malformed_or_too_large_is_rejected() {
     let conflicting_lengths = b"POST /p HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n";
