policy, edge: the objective of a returning caller counts from its first attempt

A caller that returns after a refusal has a new request id and less time left, and its latency objective began again with each attempt: it ranked behind all callers that came after its first one.

Change: `policy::caller_age` learns for each route the time limit that first attempts state (half of the requests state it, at most 5 % state more), and takes a smaller one as the rest of it. A value that a tenth of the requests state is a limit of its own. Counts are halved every 30 s and discarded when the route's host, prefix, time limit or objective changes. The gateway uses it in configurations with tenants, not for calls of running requests; the deadline is unchanged. The wait for credit of a quota stays a share of the route's objective, since that of a returning caller may be over.

Tests: jy-policy and jy-edge, all passed, among them four of caller_age and serve_retry_objective_counts_from_first_attempt.

--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -20,7 +20,7 @@
 use jy_platform::headers;
 use jy_policy::budget::BudgetLimits;
 use jy_policy::budget::SendCounter;
-use jy_policy::budget::SendPurpose;
+use jy_policy::caller_age::CallerAges;
 use jy_policy::choice::EndpointTable;
 use jy_policy::transfer::admit_by;
 use jy_policy::transfer::transfer_rate;
@@ -51,6 +51,7 @@
 use crate::request_log::RequestLog;
 
 mod calls;
+mod resend;
 mod selection;
 
 /// Limit on the gates asked for one request. A gate refuses at once if it can't serve a request in time.
@@ -75,6 +76,7 @@
     budget: Cell<BudgetLimits>,
     quota: Rc<LocalQuota>,
     pool: Rc<ConnectionPool>,
+    caller_ages: RefCell<CallerAges>,
     rng: RefCell<SmallRng>,
     /// Rate at which the agent's link carries one large body, in bytes per millisecond.
     bytes_per_ms: u64,
@@ -114,6 +116,8 @@
     job: GateJob,
     rule: RouteRule,
     received_at: Millis,
+    /// Time since the first attempt of a caller that returns, in milliseconds.
+    age_ms: u64,
     /// Agents that were asked and are not to be asked again.
     tried: BTreeSet<Name>,
     /// Number of backend servers that may have received the request.
@@ -181,6 +185,7 @@
             budget: Cell::new(parts.budget),
             quota: parts.quota,
             pool: Rc::new(ConnectionPool::new()),
+            caller_ages: RefCell::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
             bytes_per_ms: transfer_rate(parts.link_bytes_per_ms) as u64,
             request_log: RequestLog::new(),
@@ -287,6 +292,9 @@
             .unwrap_or(u64::MAX)
             .min(rule.timeout_ms);
         let is_call = self.is_call(&request, &routes, rule);
+        let stated_ms = caller_headers.time_left_ms.filter(|_| !is_call);
+        let age_ms = self.first_attempt_age_ms(received_at, &routes, rule, stated_ms);
+        let deadline = received_at.plus(left_ms);
         let job = GateJob {
             request,
             id,
@@ -297,13 +305,17 @@
             is_call,
             tenant: None,
             key_valid_until: Millis::MAX,
-            objective: received_at.plus(rule.objective_ms.min(left_ms)),
-            deadline: received_at.plus(left_ms),
+            objective: received_at
+                .plus(rule.objective_ms)
+                .minus(age_ms)
+                .min(deadline),
+            deadline,
         };
         Ok(Box::new(CallState {
             job,
             rule: rule.clone(),
             received_at,
+            age_ms,
             tried: BTreeSet::new(),
             backends_reached: 0,
             attempts_started: 0,
@@ -336,7 +348,9 @@
         let Some(tenant) = tenant else {
             return Ok(());
         };
-        let wait_ms = call.job.objective.since(call.received_at) as f64 * MAX_CREDIT_WAIT_SHARE;
+        // The objective of a returning caller may be over, and its credit is not: the share is of a first attempt's.
+        let left_ms = call.job.deadline.since(call.received_at);
+        let wait_ms = call.rule.objective_ms.min(left_ms) as f64 * MAX_CREDIT_WAIT_SHARE;
         let wait_until = call.received_at.plus(wait_ms as u64);
         match self.quota.acquire(&tenant, wait_until).await {
             QuotaOutcome::Admitted(credit) => {
@@ -434,7 +448,7 @@
             let snapshot = self.snapshot.borrow();
             format!(
                 "id={} route={} service={} key={:?} status={status} outcome={outcome_name} last={} \
-                 asked={:?} offered={} elapsed_ms={elapsed_ms} beliefs={} configuration={} call={}",
+                 asked={:?} offered={} elapsed_ms={elapsed_ms} beliefs={} configuration={} call={} age_ms={}",
                 call.job.id,
                 call.rule.name,
                 call.job.service,
@@ -445,6 +459,7 @@
                 snapshot.revision,
                 snapshot.routes.as_ref().map_or(0, |routes| routes.version),
                 call.job.is_call,
+                call.age_ms,
             )
         });
     }
@@ -525,37 +540,6 @@
         }
     }
 
-    /// Whether a request that ran or may have run may be sent again: it must be idempotent. If so, one extra
-    /// send of the retry budget is spent.
-    fn may_resend(&self, call: &CallState) -> bool {
-        call.rule.idempotent && self.may_resend_not_run(call)
-    }
-
-    /// Whether a request that has not run may be sent again. If so, one extra send of the retry budget is
-    /// spent.
-    fn may_resend_not_run(&self, call: &CallState) -> bool {
-        let now = clock::now();
-        call.backends_reached < call.rule.max_attempts
-            && now < call.job.deadline
-            && self.spend_retry_budget(
-                now,
-                &call.job.service,
-                SendPurpose::retry_of(call.rule.priority),
-            )
-    }
-
-    /// Spends one extra send of the service's retry budget. Returns whether the budget allowed it.
-    fn spend_retry_budget(&self, now: Millis, service: &Name, purpose: SendPurpose) -> bool {
-        let live_agents = self.snapshot.borrow().live_agents(now);
-        let mut send_counters = self.send_counters.borrow_mut();
-        let send_counter = send_counters.entry(Name::clone(service)).or_default();
-        let is_spent = send_counter.spend(now, self.budget.get(), live_agents, purpose);
-        if is_spent {
-            self.metrics.extra_sends.inc();
-        }
-        is_spent
-    }
-
     /// Starts an attempt at an agent.
     fn start_attempt(self: &Rc<Self>, call: &mut CallState, node: Name, attempts: &Attempts) {
         call.attempts_started += 1;
@@ -588,12 +572,4 @@
             AttemptOutcome { node, report }
         }));
     }
-
-    /// Whether a service is divided by key, so that requests go to the owner of their key.
-    fn is_keyed(&self, service: &str) -> bool {
-        let snapshot = self.snapshot.borrow();
-        let routes = snapshot.routes.as_ref();
-        let rule = routes.and_then(|routes| routes.services.get(service));
-        rule.is_some_and(|rule| rule.keyed)
-    }
 }
--- a/crates/edge/src/gateway/calls.rs
+++ b/crates/edge/src/gateway/calls.rs
@@ -1,4 +1,5 @@
-//! Distinguishes calls of requests that run at the backend server beside the agent from requests of callers.
+//! Distinguishes calls of requests that run at the backend server beside the agent from requests of callers, and
+//! callers that return from those that come first.
 
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -7,6 +8,7 @@
 use jy_http::message::HttpRequest;
 use jy_types::routing::RouteRule;
 use jy_types::routing::RouteTable;
+use jy_types::time::Millis;
 
 use super::CallerGateway;
 
@@ -34,6 +36,22 @@
             && !is_shared(backend)
             && self.gate.backend.read(|state| state.is_some())
     }
+
+    /// Returns the age of the first attempt of a request that states the time limit `stated_ms`, in milliseconds;
+    /// zero in a configuration without tenants.
+    pub(super) fn first_attempt_age_ms(
+        &self,
+        received_at: Millis,
+        routes: &RouteTable,
+        rule: &RouteRule,
+        stated_ms: Option<u64>,
+    ) -> u64 {
+        let stated_ms = stated_ms.filter(|_| routes.tenants.is_some());
+        stated_ms.map_or(0, |stated_ms| {
+            let mut caller_ages = self.caller_ages.borrow_mut();
+            caller_ages.observe(received_at, rule, stated_ms)
+        })
+    }
 }
 
 /// Whether connections of other processes may come from an address too. Connections to any loopback address come
--- a/crates/edge/src/gateway/selection.rs
+++ b/crates/edge/src/gateway/selection.rs
@@ -22,6 +22,14 @@
 use crate::transfer;
 
 impl CallerGateway {
+    /// Whether a service is divided by key, so that requests go to the owner of their key.
+    pub(super) fn is_keyed(&self, service: &str) -> bool {
+        let snapshot = self.snapshot.borrow();
+        let routes = snapshot.routes.as_ref();
+        let rule = routes.and_then(|routes| routes.services.get(service));
+        rule.is_some_and(|rule| rule.keyed)
+    }
+
     /// Chooses the next agent. If a key has no reachable owner at the first attempt, waits for another owner.
     pub(super) async fn next_node(&self, call: &mut CallState, is_keyed: bool) -> Option<Name> {
         if call.attempts_started >= MAX_GATES_ASKED {
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -527,3 +527,50 @@
     plain_routes.tenants = None;
     expect_that!(is_marked(backend, backend, plain_routes, true), eq(false));
 }
+
+/// Guards against callers that are refused and then rank behind all that came after their first attempt.
+#[gtest]
+fn serve_retry_objective_counts_from_first_attempt() {
+    let left = |routes: RouteTable| {
+        actix_rt::System::new().block_on(async {
+            let jobs = Rc::new(std::cell::RefCell::new(Vec::new()));
+            let recorded = Rc::clone(&jobs);
+            let gate = serve_gate(Rc::new(move |request: HttpRequest, received_at| {
+                let job = decode_job(request, "r1".into(), received_at);
+                let left = job.map(|job| {
+                    (
+                        job.objective.since(received_at),
+                        job.deadline.since(received_at),
+                    )
+                });
+                recorded.borrow_mut().push(left.unwrap_or_default());
+                let report = GateReport {
+                    outcome: answered(),
+                    load: None,
+                };
+                Box::pin(async move { encode_report(report) })
+            }))
+            .await;
+            let gateway = gateway(snapshot(routes, gate, None));
+            for time_left_ms in [4_000; 20].into_iter().chain([3_000, 1_000]) {
+                let request = HttpRequest::new(Method::GET, "/p/x")
+                    .with_header("host", "h.example")
+                    .with_header("x-request-id", "r1")
+                    .with_header("x-deadline-ms", &time_left_ms.to_string());
+                let gateway = Rc::clone(&gateway);
+                let _response = gateway.serve(request, clock::now()).await;
+            }
+            let jobs = jobs.borrow().clone();
+            jobs
+        })
+    };
+    // The objective of the route is 2,000 ms. Some time passes between the gateway and the gate.
+    let aged = left(public_routes());
+    expect_that!(aged[19].0, all![gt(1_700), le(2_000)]);
+    expect_that!(aged[20].0, all![gt(700), le(1_000)]);
+    expect_that!(aged[20].1, all![gt(2_700), le(3_000)]);
+    expect_that!(aged[21].0, eq(0), "the objective is over");
+    expect_that!(aged[21].1, all![gt(700), le(1_000)]);
+    let plain = left(routes(false, true));
+    expect_that!(plain[20].0, gt(1_700), "served as before without tenants");
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`admission`]: queueing at a backend server that is offered more work than it can finish in time.
 //! - [`budget`]: limit on extra sends, which are retries of failed requests and hedges of slow ones.
+//! - [`caller_age`]: age of the first attempt of a caller that returns.
 //! - [`capacity`]: weights of backend servers of different speeds.
 //! - [`choice`]: load balancing among backend servers of different speeds.
 //! - [`cold`]: rate limit for a backend server in cold start.
@@ -15,6 +16,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod caller_age;
 pub mod capacity;
 pub mod choice;
 pub mod cold;
