--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -37,6 +37,8 @@
 const TENANT_HEADER: &str = "jy-tenant";
 /// Time left for which the API key is valid, in milliseconds; absent if there is no limit.
 const KEY_LEFT_MS_HEADER: &str = "jy-key-left-ms";
+/// Marks a call of a request that runs at the backend server beside the gateway.
+const CALL_HEADER: &str = "jy-call";
 /// Outcome at the gate: `answered`, `not-run` or `unknown`.
 const OUTCOME_HEADER: &str = "jy-outcome";
 /// Why the request was not run, or why its outcome is unknown.
@@ -49,7 +51,7 @@
 
 /// Headers that are used between agents only. They are removed from callers' requests, and from forwarded
 /// requests and their answers after decoding, so that none leaves the fleet.
-const PEER_HEADERS: [&str; 14] = [
+const PEER_HEADERS: [&str; 15] = [
     FORWARDED_HEADER,
     ROUTE_HEADER,
     SERVICE_HEADER,
@@ -59,6 +61,7 @@
     KEY_HEADER,
     TENANT_HEADER,
     KEY_LEFT_MS_HEADER,
+    CALL_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
     RETRY_MS_HEADER,
@@ -90,6 +93,8 @@
     pub origin: Name,
     /// Shard key, for services divided by key.
     pub key: Option<u16>,
+    /// Whether it is a call of a request that runs at the backend server beside the gateway.
+    pub is_call: bool,
     /// Tenant that holds the caller's API key; `None` if the request needs no key.
     pub tenant: Option<Name>,
     /// The request must be dispatched before this point, since its API key may have been withdrawn.
@@ -302,6 +307,9 @@
         let key_left_ms = job.key_valid_until.since(now);
         set_header(headers, KEY_LEFT_MS_HEADER, &key_left_ms.to_string());
     }
+    if job.is_call {
+        set_header(headers, CALL_HEADER, "1");
+    }
 }
 
 /// Decodes a job from an HTTP request. Returns `None` if a required header is missing or invalid.
@@ -319,6 +327,7 @@
         Some(key_left_ms) => received_at.plus(key_left_ms.parse().ok()?),
         None => Millis::MAX,
     };
+    let is_call = text(CALL_HEADER) == Some("1");
     remove_peer_headers(&mut request.headers);
     Some(GateJob {
         request,
@@ -327,6 +336,7 @@
         service,
         origin,
         key,
+        is_call,
         tenant,
         key_valid_until,
         objective: received_at.plus(objective_ms),
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -246,7 +246,7 @@
         }
         let admission_request = AdmissionRequest {
             tenant: job.tenant.clone(),
-            is_call: false,
+            is_call: job.is_call,
             priority: rule.priority,
             first_sent: job.deadline.minus(rule.timeout_ms),
             objective: job.objective,
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -15,6 +15,7 @@
 use jy_edge::forward::GateOutcome;
 use jy_edge::forward::GateReport;
 use jy_edge::forward::NotRunCause;
+use jy_edge::forward::decode_job;
 use jy_edge::forward::encode_report;
 use jy_edge::forward::is_forwarded;
 use jy_edge::forward::remove_peer_headers;
@@ -37,6 +38,7 @@
 use jy_policy::budget::BudgetLimits;
 use jy_ranges::table::RangeOwner;
 use jy_ranges::table::RangeTable;
+use jy_types::endpoint::Announcement;
 use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::BackendPhase;
 use jy_types::endpoint::InstanceRecord;
@@ -163,15 +165,25 @@
     gateway_with_slack(snapshot, 50.0)
 }
 
-/// Creates a gateway whose fleet may make `slack` extra sends beyond a share of the requests.
+/// Builds a gateway whose fleet may make `slack` extra sends beyond a share of the requests.
 fn gateway_with_slack(snapshot: FleetSnapshot, slack: f64) -> Rc<CallerGateway> {
+    let backend = LocalBackend::new("own".into(), Millis(0), 10_000, 1_000);
+    let unused_address = SocketAddr::from(([127, 0, 0, 1], 9));
+    gateway_beside(snapshot, Rc::new(backend), unused_address, slack)
+}
+
+/// Builds a gateway with the given snapshot beside the backend server at `address`.
+fn gateway_beside(
+    snapshot: FleetSnapshot,
+    backend: Rc<LocalBackend>,
+    address: SocketAddr,
+    slack: f64,
+) -> Rc<CallerGateway> {
     let snapshot: Rc<SnapshotSender> = Rc::new(watch::Sender::new(Rc::new(snapshot)));
     let metrics = Rc::new(EdgeMetrics::new());
-    let backend = Rc::new(LocalBackend::new("own".into(), Millis(0), 10_000, 1_000));
-    let unused_address = SocketAddr::from(([127, 0, 0, 1], 9));
     let gate = LocalGate::new(
         "z".into(),
-        unused_address,
+        address,
         backend,
         Rc::clone(&snapshot),
         Rc::clone(&metrics),
@@ -489,3 +501,132 @@
     });
     expect_that!(response.status, eq(StatusCode::OK));
 }
+
+/// Sends a request from `peer` through a gateway beside a backend server at `backend` that announced itself if
+/// `is_heard`. Returns whether the request arrived at the other gate with the mark of calls.
+fn is_marked(peer: [u8; 4], backend: [u8; 4], routes: RouteTable, is_heard: bool) -> bool {
+    actix_rt::System::new().block_on(async {
+        let marked: Rc<Cell<bool>> = Rc::default();
+        let recorded = Rc::clone(&marked);
+        let gate = serve_gate(Rc::new(move |request: HttpRequest, received_at| {
+            let job = decode_job(request, "r1".into(), received_at);
+            recorded.set(job.is_some_and(|job| job.is_call));
+            let report = GateReport {
+                outcome: answered(),
+                load: None,
+            };
+            Box::pin(async move { encode_report(report) })
+        }))
+        .await;
+        let address = SocketAddr::from((backend, 8_080));
+        let backend = Rc::new(LocalBackend::new("own".into(), Millis(0), 10_000, 1_000));
+        if is_heard {
+            let announced = Announcement {
+                incarnation: incarnation(),
+                address,
+                service: "s".into(),
+                zone: "z".into(),
+                slots: 4,
+                phase: BackendPhase::Serving,
+                sequence: 1,
+                cold_ms: 0,
+                held: Vec::new(),
+                released: Vec::new(),
+            };
+            let _outcome = backend.announce(clock::now(), address, announced, None, Millis::MAX);
+        }
+        let gateway = gateway_beside(snapshot(routes, gate, None), backend, address, 50.0);
+        let request = HttpRequest::new(Method::GET, "/p/x")
+            .with_header("host", "h.example")
+            .with_header("x-request-id", "r1")
+            .with_header("x-deadline-ms", "1000")
+            .with_header("jy-call", "1")
+            .with_peer(SocketAddr::from((peer, 40_000)));
+        let response = gateway.serve(request, clock::now()).await;
+        expect_that!(response.status, eq(StatusCode::OK));
+        marked.get()
+    })
+}
+
+/// A call that fails wastes the run that made it, so its gate must know that it is one.
+#[gtest]
+fn serve_call_of_running_request_is_marked() {
+    let backend = [10, 0, 0, 9];
+    expect_that!(
+        is_marked(backend, backend, routes(false, true), true),
+        eq(true)
+    );
+    expect_that!(
+        is_marked(backend, backend, routes(false, true), false),
+        eq(false),
+        "nothing has shown that a backend server has the address"
+    );
+}
+
+/// Guards against callers that get ahead of all others by a header, or since they share an address.
+#[gtest]
+fn serve_request_of_caller_is_not_marked() {
+    let (caller, backend) = ([10, 0, 0, 8], [10, 0, 0, 9]);
+    expect_that!(
+        is_marked(caller, backend, routes(false, true), true),
+        eq(false)
+    );
+    let loopback = [127, 0, 0, 1];
+    expect_that!(
+        is_marked(loopback, loopback, routes(false, true), true),
+        eq(false)
+    );
+}
+
+/// Guards against callers that are refused and then rank behind all that came after their first attempt.
+#[gtest]
+fn serve_retry_objective_counts_from_first_attempt() {
+    let left = |routes: RouteTable| {
+        actix_rt::System::new().block_on(async {
+            let jobs = Rc::new(std::cell::RefCell::new(Vec::new()));
+            let recorded = Rc::clone(&jobs);
+            let gate = serve_gate(Rc::new(move |request: HttpRequest, received_at| {
+                let job = decode_job(request, "r1".into(), received_at);
+                let left = job.map(|job| {
+                    (
+                        job.objective.since(received_at),
+                        job.deadline.since(received_at),
+                    )
+                });
+                recorded.borrow_mut().push(left.unwrap_or_default());
+                let report = GateReport {
+                    outcome: answered(),
+                    load: None,
+                };
+                Box::pin(async move { encode_report(report) })
+            }))
+            .await;
+            let gateway = gateway(snapshot(routes, gate, None));
+            for time_left_ms in [4_000; 20].into_iter().chain([3_000, 1_000]) {
+                let request = HttpRequest::new(Method::GET, "/p/x")
+                    .with_header("host", "h.example")
+                    .with_header("x-request-id", "r1")
+                    .with_header("x-deadline-ms", &time_left_ms.to_string());
+                let gateway = Rc::clone(&gateway);
+                let _response = gateway.serve(request, clock::now()).await;
+            }
+            let jobs = jobs.borrow().clone();
+            jobs
+        })
+    };
+    // The objective of the route is 2,000 ms. Some time passes between the gateway and the gate.
+    let mut patient = routes(false, true);
+    patient.routes[0].timeout_ms = 6_000;
+    let aged = left(patient);
+    expect_that!(aged[19].0, all![gt(1_700), le(2_000)]);
+    expect_that!(aged[20].0, all![gt(700), le(1_000)]);
+    expect_that!(aged[20].1, all![gt(2_700), le(3_000)]);
+    expect_that!(aged[21].0, eq(0), "the objective is over");
+    expect_that!(aged[21].1, all![gt(700), le(1_000)]);
+    let plain = left(routes(false, true));
+    expect_that!(
+        plain[20].0,
+        gt(1_700),
+        "the time limit of the route leaves no room"
+    );
+}
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::fmt;
+use std::net::SocketAddr;
 
 use actix_http::Method;
 use actix_http::ServiceConfig;
@@ -39,6 +40,9 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// Address of the other end of the connection that a listener read the request from; `None` if no listener
+    /// did.
+    pub peer: Option<SocketAddr>,
 }
 
 /// A complete response.
@@ -86,6 +90,7 @@
             target: target.into(),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            peer: None,
         }
     }
 
@@ -103,6 +108,13 @@
         self
     }
 
+    /// Sets the address of the other end of the connection.
+    #[must_use]
+    pub const fn with_peer(mut self, peer: SocketAddr) -> Self {
+        self.peer = Some(peer);
+        self
+    }
+
     /// Returns the path without its query.
     #[must_use]
     pub fn path(&self) -> &str {
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -34,7 +34,7 @@
 
 /// Least ratio of a caller's time limit to its objective at which a request without a tenant may wait for a late
 /// answer.
-const MIN_LIMIT_RATIO: u64 = 3;
+pub const MIN_LIMIT_RATIO: u64 = 3;
 
 /// Lower bound on the expected remaining work of a running request, as a share of its mean work.
 const MIN_REMAINING_SHARE: f64 = 0.25;
