--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -610,8 +610,7 @@
                 let gateway = Rc::clone(&gateway);
                 let _response = gateway.serve(request, clock::now()).await;
             }
-            let jobs = jobs.borrow().clone();
-            jobs
+            jobs.borrow().clone()
         })
     };
     // The objective of the route is 2,000 ms. Some time passes between the gateway and the gate.
