edge: mark calls only on public routes of configurations with tenants

Cause: callers on an instance connect from the same address as its backend server, so that the address alone marked all requests.

Change: calls are marked as the part was built: on public routes of configurations with tenants, where callers need a key.

--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -268,7 +268,7 @@
             .min(rule.timeout_ms);
         let deadline = received_at.plus(left_ms);
         let api_key = self.authenticate(&mut request, &routes, rule, deadline)?;
-        let is_call = self.is_call(&request);
+        let is_call = self.is_call(&request, &routes, rule);
         let stated_ms = caller_headers.time_left_ms.filter(|_| !is_call);
         let age_ms = self.first_attempt_age_ms(received_at, &routes, rule, stated_ms);
         let mut rule = rule.clone();
--- a/crates/edge/src/gateway/calls.rs
+++ b/crates/edge/src/gateway/calls.rs
@@ -15,17 +15,27 @@
 
 impl CallerGateway {
     /// Whether a request is certainly a call of a request that runs at the backend server beside the agent: it
-    /// comes from that server's own address, and the server has announced itself.
+    /// comes from that server's own address, on a public route of a configuration with tenants, and the server
+    /// has announced itself. Callers on the instance share the address, but need a key and so another route.
     ///
     /// All requests of one connection have the same peer, so a connection that the backend server opened before
     /// its first announcement is marked from then on. Marking only later connections would leave a pooled
     /// connection unmarked for as long as it is used after a restart of the agent.
-    pub(super) fn is_call(&self, request: &HttpRequest) -> bool {
+    pub(super) fn is_call(
+        &self,
+        request: &HttpRequest,
+        routes: &RouteTable,
+        rule: &RouteRule,
+    ) -> bool {
         let backend = self.gate.address.get().ip().to_canonical();
         let is_from_backend = request
             .peer
             .is_some_and(|peer| peer.ip().to_canonical() == backend);
-        is_from_backend && !is_shared(backend) && self.gate.backend.read(|state| state.is_some())
+        is_from_backend
+            && routes.tenants.is_some()
+            && rule.public
+            && !is_shared(backend)
+            && self.gate.backend.read(|state| state.is_some())
     }
 
     /// Returns the age of the first attempt of a request that states the time limit `stated_ms`, in milliseconds. It
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -48,6 +48,7 @@
 use jy_types::routing::RouteTable;
 use jy_types::routing::RouteTarget;
 use jy_types::routing::ServiceRule;
+use jy_types::tenant::TenantTable;
 use jy_types::time::Millis;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -548,16 +549,21 @@
     })
 }
 
+/// Builds a configuration with tenants and one public route.
+fn public_routes() -> RouteTable {
+    let mut routes = routes(false, true);
+    routes.routes[0].public = true;
+    routes.tenants = Some(TenantTable::default());
+    routes
+}
+
 /// A call that fails wastes the run that made it, so its gate must know that it is one.
 #[gtest]
 fn serve_call_of_running_request_is_marked() {
     let backend = [10, 0, 0, 9];
+    expect_that!(is_marked(backend, backend, public_routes(), true), eq(true));
     expect_that!(
-        is_marked(backend, backend, routes(false, true), true),
-        eq(true)
-    );
-    expect_that!(
-        is_marked(backend, backend, routes(false, true), false),
+        is_marked(backend, backend, public_routes(), false),
         eq(false),
         "nothing has shown that a backend server has the address"
     );
@@ -567,15 +573,18 @@
 #[gtest]
 fn serve_request_of_caller_is_not_marked() {
     let (caller, backend) = ([10, 0, 0, 8], [10, 0, 0, 9]);
-    expect_that!(
-        is_marked(caller, backend, routes(false, true), true),
-        eq(false)
-    );
+    expect_that!(is_marked(caller, backend, public_routes(), true), eq(false));
     let loopback = [127, 0, 0, 1];
     expect_that!(
-        is_marked(loopback, loopback, routes(false, true), true),
+        is_marked(loopback, loopback, public_routes(), true),
         eq(false)
     );
+    let mut keyed_routes = public_routes();
+    keyed_routes.routes[0].public = false;
+    expect_that!(is_marked(backend, backend, keyed_routes, true), eq(false));
+    let mut plain_routes = public_routes();
+    plain_routes.tenants = None;
+    expect_that!(is_marked(backend, backend, plain_routes, true), eq(false));
 }
 
 /// Guards against callers that are refused and then rank behind all that came after their first attempt.
