--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -48,6 +48,7 @@
 use jy_types::routing::RouteTable;
 use jy_types::routing::RouteTarget;
 use jy_types::routing::ServiceRule;
+use jy_types::tenant::TenantRule;
 use jy_types::tenant::TenantTable;
 use jy_types::time::Millis;
 use tokio::sync::Notify;
@@ -542,6 +543,7 @@
             .with_header("x-request-id", "r1")
             .with_header("x-deadline-ms", "1000")
             .with_header("jy-call", "1")
+            .with_header("authorization", "Token key")
             .with_peer(SocketAddr::from((peer, 40_000)));
         let response = gateway.serve(request, clock::now()).await;
         expect_that!(response.status, eq(StatusCode::OK));
@@ -553,7 +555,12 @@
 fn public_routes() -> RouteTable {
     let mut routes = routes(false, true);
     routes.routes[0].public = true;
-    routes.tenants = Some(TenantTable::default());
+    let tenant = TenantRule {
+        name: "t".into(),
+        priority: None,
+        quota: None,
+    };
+    routes.tenants = Some(TenantTable::new().with_tenant(tenant, &["key"]));
     routes
 }
 
