http, edge: one memory budget for what connections hold

Cause: only bodies of requests had a common limit. Responses held for slow callers, heads on slow connections and what is read ahead could together exceed the memory of the agent, which is then killed.

Change: body_budget becomes memory_budget, shared by the listeners for callers and agents and by the clients of gateway and gate. Heads, read-ahead and bodies are refused as not run where they do not fit; a response takes memory for its whole before it is read, waits for it until its deadline, and keeps it until it is written. Agents' own messages go on. The tests of the old budget read the bytes of bodies instead of the sum, since heads count too; they are as strict.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -10,11 +10,12 @@
 use anyhow::Result;
 use futures_util::future::LocalBoxFuture;
 use jy_config::edge::EdgeSettings;
-use jy_http::body_budget::BodyBudget;
+use jy_http::memory_budget::MemoryBudget;
 use jy_http::message::HttpRequest;
 use jy_http::message::HttpResponse;
 use jy_http::message::header_text;
 use jy_http::pool::ConnectionPool;
+use jy_http::server::EssentialFn;
 use jy_http::server::Handler;
 use jy_http::server::HttpListener;
 use jy_http::server::LimitsFn;
@@ -45,6 +46,7 @@
 use crate::feed::SnapshotSender;
 use crate::forward;
 use crate::forward::GateReport;
+use crate::forward::MEMORY_RETRY_MS;
 use crate::forward::NotRunCause;
 use crate::gate::LocalGate;
 use crate::gateway::CallerGateway;
@@ -80,16 +82,6 @@
     idle_ms: 15_000,
 };
 
-/// Memory that the agent uses apart from the bodies of requests, in megabytes.
-const BASE_MEMORY_MB: f64 = 32.0;
-/// Share of the remaining memory for the bodies of requests. The rest is for responses and for what the kernel
-/// buffers.
-const BODY_MEMORY_SHARE: f64 = 0.75;
-const BYTES_PER_MEGABYTE: f64 = 1_000_000.0;
-/// Retry delay of requests whose bodies do not fit into memory, in milliseconds: about the time in which other
-/// bodies of many megabytes are sent on.
-const BODY_RETRY_MS: u64 = 500;
-
 /// Parts of a running agent.
 struct EdgeAgent {
     settings: EdgeSettings,
@@ -100,6 +92,7 @@
     member: Rc<LocalMember>,
     support: Rc<LocalSupport>,
     metrics: Rc<EdgeMetrics>,
+    memory: Rc<MemoryBudget>,
     feed: Rc<watch::Sender<FeedState>>,
     refresh_requested: Rc<Notify>,
     /// Operators' records, relayed to other agents.
@@ -162,14 +155,16 @@
             )
             .with_drain_ms(bounds.drain_ms),
         );
-        let gate = Rc::new(LocalGate::new(
+        let memory = Rc::new(MemoryBudget::for_process(settings.memory_mb));
+        let gate = LocalGate::new(
             Name::clone(&settings.zone),
             settings.backend,
             Rc::clone(&backend),
             Rc::clone(&snapshot),
             Rc::clone(&metrics),
             link_bytes_per_ms,
-        ));
+        );
+        let gate = Rc::new(gate.with_memory(Rc::clone(&memory)));
         let gateway = Rc::new(CallerGateway::new(GatewayParts {
             node: Name::clone(&settings.name),
             zone: Name::clone(&settings.zone),
@@ -223,6 +218,7 @@
             member,
             support,
             metrics,
+            memory,
             feed,
             refresh_requested,
             is_shutting_down,
@@ -358,22 +354,24 @@
             let response = metrics_agent.answer_metrics();
             Box::pin(async move { response })
         });
-        let body_budget = Rc::new(BodyBudget::new(body_memory_bytes(self.settings.memory_mb)));
         let refuse_caller: RefuseFn = Rc::new(|| {
             let now = clock::now();
-            let reason = "too many large bodies at once";
-            refusal::not_run(reason, BODY_RETRY_MS, now, Millis::MAX)
+            let reason = "the agent has no memory for the request";
+            refusal::not_run(reason, MEMORY_RETRY_MS, now, Millis::MAX)
         });
         let gate = Rc::clone(&self.gate);
         let refuse_peer: RefuseFn = Rc::new(move || {
             let load = gate.load(clock::now());
             let cause = NotRunCause::Overloaded;
-            forward::encode_report(GateReport::not_run(cause, BODY_RETRY_MS, Some(load)))
+            forward::encode_report(GateReport::not_run(cause, MEMORY_RETRY_MS, Some(load)))
         });
+        // The agents' own messages keep leases and records alive. They are small and follow from no caller's load.
+        let is_essential: EssentialFn = Rc::new(|headers| !forward::has_forwarded_mark(headers));
         let callers = HttpListener::new(callers, caller_limits)
-            .with_body_budget(Rc::clone(&body_budget), refuse_caller);
+            .with_memory(Rc::clone(&self.memory), refuse_caller);
         let gates = HttpListener::new(gates, Rc::clone(&peer_limits))
-            .with_body_budget(body_budget, refuse_peer);
+            .with_memory(Rc::clone(&self.memory), refuse_peer)
+            .with_essential(is_essential);
         let plain = |handle| HttpListener::new(handle, Rc::clone(&peer_limits));
         bind("caller", listen.caller, &callers).await?;
         bind("gate", listen.gate, &gates).await?;
@@ -492,6 +490,7 @@
         metrics
             .authority_ms
             .set(gauge_value(self.member.authority().since(now)));
+        metrics.set_memory(&self.memory);
         metrics.gate_busy.set(i64::from(load.busy));
         metrics.gate_used_percent.set(i64::from(load.used_percent));
         metrics
@@ -539,11 +538,6 @@
     })
 }
 
-/// Returns the memory for the bodies of requests, in bytes, of an agent that may use `memory_mb` megabytes.
-fn body_memory_bytes(memory_mb: f64) -> usize {
-    ((memory_mb - BASE_MEMORY_MB) * BODY_MEMORY_SHARE * BYTES_PER_MEGABYTE) as usize
-}
-
 /// Binds one listener.
 ///
 /// # Errors
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -26,6 +26,7 @@
 
 use crate::forward::GateJob;
 use crate::forward::GateOutcome;
+use crate::forward::MEMORY_RETRY_MS;
 use crate::forward::NotRunCause;
 use crate::gate::LocalGate;
 use crate::gate::UNAVAILABLE_RETRY_MS;
@@ -53,6 +54,12 @@
                 retry_ms: UNAVAILABLE_RETRY_MS,
             };
         };
+        if !self.pool.admits_unsent() {
+            return GateOutcome::NotRun {
+                cause: NotRunCause::Overloaded,
+                retry_ms: MEMORY_RETRY_MS,
+            };
+        }
         let left_ms = job.deadline.since(sent_at);
         let mut request = job.request.clone();
         strip_connection_headers(&mut request.headers);
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -67,6 +67,10 @@
 /// Time after the deadline for which the gateway still waits for the gate's response, in milliseconds.
 const RESPONSE_SLACK_MS: u64 = 20;
 
+/// Retry delay of requests for which there is no memory, in milliseconds: about the time in which bodies of many
+/// megabytes are sent on.
+pub const MEMORY_RETRY_MS: u64 = 500;
+
 /// A request that a gateway passes to a gate.
 #[derive(Clone, Debug)]
 pub struct GateJob {
@@ -220,6 +224,9 @@
     job: &GateJob,
     limits: TransferLimits,
 ) -> GateReport {
+    if !pool.admits_unsent() {
+        return GateReport::not_run(NotRunCause::Overloaded, MEMORY_RETRY_MS, None);
+    }
     let grant = if transfer::needs_grant(job.request.body.len() as u64) {
         match transfer::request_grant(pool, address, job, limits.admit_by).await {
             Ok(grant) => Some(grant),
@@ -269,7 +276,13 @@
 /// Whether a request of another agent is a caller's request that it passes on.
 #[must_use]
 pub fn is_forwarded(request: &HttpRequest) -> bool {
-    request.headers.contains_key(FORWARDED_HEADER)
+    has_forwarded_mark(&request.headers)
+}
+
+/// Whether the headers of a request of another agent mark it as a caller's request that it passes on.
+#[must_use]
+pub fn has_forwarded_mark(headers: &HeaderMap) -> bool {
+    headers.contains_key(FORWARDED_HEADER)
 }
 
 /// Sets the headers that describe a job to another agent's gate.
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jy_http::memory_budget::MemoryBudget;
 use jy_http::pool::ConnectionPool;
 use jy_kernel::clock;
 use jy_policy::admission::Admission;
@@ -153,6 +154,14 @@
         }
     }
 
+    /// Sets the budget from which responses take memory, also those that a gateway with this gate reads from other
+    /// agents.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Rc<MemoryBudget>) -> Self {
+        self.pool = ConnectionPool::new().with_memory(memory);
+        self
+    }
+
     /// Refuses all requests and bodies that wait for their turn.
     pub fn refuse_waiting(&self) {
         let mut state = self.state.borrow_mut();
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -169,6 +169,7 @@
     /// Creates a gateway.
     #[must_use]
     pub fn new(parts: GatewayParts) -> Self {
+        let pool = Rc::new(parts.gate.pool.with_same_memory());
         Self {
             node: parts.node,
             zone: parts.zone,
@@ -179,7 +180,7 @@
             send_counters: RefCell::new(BTreeMap::new()),
             budget: Cell::new(parts.budget),
             quota: parts.quota,
-            pool: Rc::new(ConnectionPool::new()),
+            pool,
             rng: RefCell::new(SmallRng::from_os_rng()),
             bytes_per_ms: transfer_rate(parts.link_bytes_per_ms) as u64,
             request_log: RequestLog::new(),
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of the agent, in the Prometheus text format.
 
+use jy_http::memory_budget::MemoryBudget;
+use jy_http::memory_budget::MemoryKind;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -53,6 +55,29 @@
     pub gate_used_percent: Gauge,
     /// Ranges of keys that the backend server owns.
     pub ranges: Gauge,
+    /// Memory that connections use.
+    pub memory: MemoryMetrics,
+}
+
+/// Metrics of the memory that connections use. All but the counters are in bytes.
+#[derive(Debug, Default)]
+pub struct MemoryMetrics {
+    /// Budget for all connections.
+    pub limit: Gauge,
+    /// Largest use so far.
+    pub peak: Gauge,
+    /// Use for heads of requests and read-ahead.
+    pub heads: Gauge,
+    /// Use for bodies of requests.
+    pub bodies: Gauge,
+    /// Use for responses.
+    pub responses: Gauge,
+    /// Number of responses that are not read on while there is no memory.
+    pub waiting: Gauge,
+    /// Requests refused for lack of memory.
+    pub refused: Counter,
+    /// Callers disconnected that did not read their responses.
+    pub stalled: Counter,
 }
 
 impl EdgeMetrics {
@@ -75,6 +100,7 @@
             gate_busy: Gauge::default(),
             gate_used_percent: Gauge::default(),
             ranges: Gauge::default(),
+            memory: MemoryMetrics::default(),
         };
         metrics.register();
         metrics
@@ -124,6 +150,43 @@
             self.gate_used_percent.clone(),
         );
         registry.register("ranges", "Ranges of keys owned", self.ranges.clone());
+        let memory = &self.memory;
+        let gauges = [
+            ("memory_limit_bytes", "Budget of connections", &memory.limit),
+            ("memory_peak_bytes", "Largest use", &memory.peak),
+            ("memory_head_bytes", "Heads and read-ahead", &memory.heads),
+            ("memory_body_bytes", "Bodies of requests", &memory.bodies),
+            ("memory_response_bytes", "Responses", &memory.responses),
+            ("memory_waiting", "Responses not read on", &memory.waiting),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+        let refused = memory.refused.clone();
+        registry.register("memory_refused", "Refused for lack of memory", refused);
+        let stalled = memory.stalled.clone();
+        registry.register("stalled_callers", "Callers that read nothing", stalled);
+    }
+
+    /// Sets the metrics of the memory that connections use.
+    pub fn set_memory(&self, budget: &MemoryBudget) {
+        let memory = &self.memory;
+        let set = |gauge: &Gauge, number: usize| {
+            gauge.set(i64::try_from(number).unwrap_or(i64::MAX));
+        };
+        set(&memory.limit, budget.limit_bytes());
+        set(&memory.peak, budget.peak_bytes());
+        set(&memory.heads, budget.used_bytes_of(MemoryKind::Head));
+        set(&memory.bodies, budget.used_bytes_of(MemoryKind::Body));
+        set(
+            &memory.responses,
+            budget.used_bytes_of(MemoryKind::Response),
+        );
+        set(&memory.waiting, budget.waiting());
+        let refused = &memory.refused;
+        refused.inc_by(budget.refused().saturating_sub(refused.get()));
+        let stalled = &memory.stalled;
+        stalled.inc_by(budget.stalled().saturating_sub(stalled.get()));
     }
 
     /// Counts a request's outcome.
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -7,6 +7,7 @@
 use std::hash::Hasher;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::Method;
@@ -29,7 +30,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::body_budget::SMALL_BODY_BYTES;
+use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::SMALL_BODY_BYTES;
 use crate::message::HttpRequest;
 use crate::message::HttpResponse;
 use crate::message::codec_config;
@@ -38,6 +40,7 @@
 mod response;
 
 use response::ReadOutcome;
+use response::ResponseSource;
 use response::read_matching_response;
 
 /// Result of a client operation.
@@ -121,6 +124,8 @@
     reuse_deadline: Millis,
     /// Hashes of the ids of the requests that it has carried.
     carried_ids: BTreeSet<u64>,
+    /// Budget from which responses take memory as they are read.
+    memory: Option<Rc<MemoryBudget>>,
 }
 
 /// A response, and its connection if that can carry another request.
@@ -162,9 +167,17 @@
             last_used: now,
             reuse_deadline: now.plus(DEFAULT_REUSE_MS),
             carried_ids: BTreeSet::new(),
+            memory: None,
         })
     }
 
+    /// Sets the budget from which responses take memory as they are read.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Option<Rc<MemoryBudget>>) -> Self {
+        self.memory = memory;
+        self
+    }
+
     /// Whether the connection can carry a request at `now`, having been idle for at most `max_idle_ms`.
     #[must_use]
     pub fn is_reusable(&self, now: Millis, max_idle_ms: u64) -> bool {
@@ -217,9 +230,12 @@
         let outcome = {
             let (mut reader, mut writer) = self.stream.split();
             let is_head = request.method == Method::HEAD;
-            let buffer = &mut self.buffer;
-            let response_future =
-                read_matching_response(&mut reader, buffer, codec, check, is_head);
+            let mut source = ResponseSource {
+                reader: &mut reader,
+                buffer: &mut self.buffer,
+                memory: self.memory.as_ref(),
+            };
+            let response_future = read_matching_response(&mut source, codec, check, is_head);
             tokio::pin!(response_future);
             let write_future =
                 write_counted(&mut writer, [&head, &body], &written, max_bytes_per_ms);
--- a/crates/http/src/client/response.rs
+++ b/crates/http/src/client/response.rs
@@ -1,5 +1,7 @@
 //! Reads the response that belongs to a request.
 
+use std::rc::Rc;
+
 use actix_http::ResponseHead;
 use actix_http::StatusCode;
 use actix_http::h1::ClientCodec;
@@ -13,6 +15,10 @@
 
 use super::MAX_RESPONSE_BYTES;
 use super::ResponseCheck;
+use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::MemoryKind;
+use crate::memory_budget::MemoryShare;
+use crate::memory_budget::SMALL_RESPONSE_BYTES;
 use crate::message::HttpResponse;
 use crate::message::header_text;
 
@@ -33,21 +39,71 @@
     pub(super) is_clean: bool,
 }
 
+/// Where responses are read from.
+pub(super) struct ResponseSource<'a, 'b> {
+    pub(super) reader: &'a mut ReadHalf<'b>,
+    /// Bytes that were read and not used yet.
+    pub(super) buffer: &'a mut BytesMut,
+    /// Budget from which responses take memory.
+    pub(super) memory: Option<&'a Rc<MemoryBudget>>,
+}
+
+/// Memory for the body of one response.
+struct BodyMemory(Option<MemoryShare>);
+
+impl BodyMemory {
+    /// Extends the memory for a body whose size is known to be `bytes` bytes or, if it is not known, may reach the
+    /// largest size of a response. Waits if there is none.
+    async fn extend(&mut self, bytes: usize) {
+        let Some(share) = &mut self.0 else {
+            return;
+        };
+        if bytes <= SMALL_RESPONSE_BYTES {
+            share.set_to(bytes);
+        } else if share.bytes() < bytes {
+            share.wait_for(bytes).await;
+        }
+    }
+
+    /// Extends the memory for a body of unknown size that has reached `bytes` bytes. Past the size of a small response
+    /// it takes what the largest one needs, so that it never waits a second time.
+    async fn extend_unknown(&mut self, bytes: usize) {
+        let is_small = bytes <= SMALL_RESPONSE_BYTES;
+        let needed_bytes = if is_small { bytes } else { MAX_RESPONSE_BYTES };
+        self.extend(needed_bytes).await;
+    }
+
+    /// Returns the memory of a body that was read and takes `bytes` bytes.
+    fn finish(mut self, bytes: usize) -> Option<MemoryShare> {
+        if let Some(share) = &mut self.0 {
+            share.set_to(bytes);
+        }
+        self.0
+    }
+}
+
+impl ResponseSource<'_, '_> {
+    /// Returns the memory of a body of which nothing is known yet.
+    fn body_memory(&self) -> BodyMemory {
+        let memory = self.memory;
+        BodyMemory(memory.map(|memory| memory.share(MemoryKind::Response)))
+    }
+}
+
 /// Reads responses until one belongs to the request, and skips up to [`MAX_SKIPPED_RESPONSES`] others.
 ///
 /// # Errors
 ///
 /// A description if no complete response to the request can be read.
 pub(super) async fn read_matching_response(
-    reader: &mut ReadHalf<'_>,
-    buffer: &mut BytesMut,
+    source: &mut ResponseSource<'_, '_>,
     codec: ClientCodec,
     check: Option<ResponseCheck<'_>>,
     is_head: bool,
 ) -> Result<ReadOutcome> {
     let mut codec = codec;
     for skipped in 0..=MAX_SKIPPED_RESPONSES {
-        let mut outcome = read_response(reader, buffer, codec, is_head).await?;
+        let mut outcome = read_response(source, codec, is_head).await?;
         let is_match = check.is_none_or(|check| {
             header_text(&outcome.response.headers, check.header) == Some(check.id)
         });
@@ -69,14 +125,13 @@
 ///
 /// A description if the response is malformed or incomplete.
 async fn read_response(
-    reader: &mut ReadHalf<'_>,
-    buffer: &mut BytesMut,
+    source: &mut ResponseSource<'_, '_>,
     mut codec: ClientCodec,
     is_head: bool,
 ) -> Result<ReadOutcome> {
     let mut informational = 0;
     let head = loop {
-        let head = read_head(reader, buffer, &mut codec).await?;
+        let head = read_head(source, &mut codec).await?;
         if !head.status.is_informational() {
             break head;
         }
@@ -87,43 +142,27 @@
     };
     let is_keep_alive = codec.keep_alive() && !has_connection_close(&head);
     let (status, headers) = (head.status, head.headers().clone());
-    if matches!(codec.message_type(), MessageType::None) {
-        let is_close_delimited = !is_head && may_have_body(status) && !has_content_length(&head);
-        if !is_close_delimited {
-            let body = Bytes::new();
-            let response = HttpResponse {
-                status,
-                headers,
-                body,
-            };
-            return Ok(ReadOutcome {
-                response,
-                codec,
-                is_clean: is_keep_alive,
-            });
-        }
-        let body = read_until_close(reader, buffer).await?;
-        let response = HttpResponse {
-            status,
-            headers,
-            body,
-        };
-        return Ok(ReadOutcome {
-            response,
-            codec,
-            is_clean: false,
-        });
-    }
-    let (body, codec) = read_body(reader, buffer, codec).await?;
+    let is_bodiless = matches!(codec.message_type(), MessageType::None);
+    let is_close_delimited =
+        is_bodiless && !is_head && may_have_body(status) && !has_content_length(&head);
+    let (body, memory, codec) = if is_close_delimited {
+        let (body, memory) = read_until_close(source).await?;
+        (body, memory, codec)
+    } else if is_bodiless {
+        (Bytes::new(), None, codec)
+    } else {
+        read_body(source, codec, content_length(&head)).await?
+    };
     let response = HttpResponse {
         status,
         headers,
         body,
+        memory,
     };
     Ok(ReadOutcome {
         response,
         codec,
-        is_clean: is_keep_alive,
+        is_clean: is_keep_alive && !is_close_delimited,
     })
 }
 
@@ -145,69 +184,98 @@
     head.headers().contains_key(header::CONTENT_LENGTH)
 }
 
+/// Returns the size of the body that the head of a response states, unless it is chunked.
+fn content_length(head: &ResponseHead) -> Option<usize> {
+    if head.headers().contains_key(header::TRANSFER_ENCODING) {
+        return None;
+    }
+    let value = head.headers().get(header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.trim().parse().ok()
+}
+
 /// Reads the head of a response.
 ///
 /// # Errors
 ///
 /// A description if the head is malformed or the connection ends before it is complete.
 async fn read_head(
-    reader: &mut ReadHalf<'_>,
-    buffer: &mut BytesMut,
+    source: &mut ResponseSource<'_, '_>,
     codec: &mut ClientCodec,
 ) -> Result<ResponseHead> {
     use tokio_util::codec::Decoder;
     loop {
-        match codec.decode(buffer) {
+        match codec.decode(source.buffer) {
             Ok(Some(head)) => return Ok(head),
             Ok(None) => {}
             Err(error) => return Err(error.to_string().into()),
         }
-        read_more(reader, buffer).await?;
+        read_more(source).await?;
     }
 }
 
-/// Reads a body that is delimited by its length or by chunked encoding.
+/// Reads a body that is delimited by its length, which is given then, or by chunked encoding. Nothing is read while
+/// there is no memory for it.
 ///
 /// # Errors
 ///
-/// A description if the body is malformed or the connection ends before it is complete.
+/// A description if the body is malformed, too long, or the connection ends before it is complete.
 async fn read_body(
-    reader: &mut ReadHalf<'_>,
-    buffer: &mut BytesMut,
+    source: &mut ResponseSource<'_, '_>,
     codec: ClientCodec,
-) -> Result<(Bytes, ClientCodec)> {
+    length: Option<usize>,
+) -> Result<(Bytes, Option<MemoryShare>, ClientCodec)> {
     use tokio_util::codec::Decoder;
     let mut codec = codec.into_payload_codec();
-    let mut body = BytesMut::new();
+    let mut memory = source.body_memory();
+    let length = length.unwrap_or_default();
+    check_length(length)?;
+    memory.extend(length).await;
+    let mut body = BytesMut::with_capacity(length);
     loop {
-        match codec.decode(buffer) {
+        match codec.decode(source.buffer) {
             Ok(Some(Some(chunk))) => {
-                check_length(body.len() + chunk.len())?;
+                let length = body.len() + chunk.len();
+                check_length(length)?;
+                if length > body.capacity() {
+                    let capacity = (body.capacity() * 2).clamp(length, MAX_RESPONSE_BYTES);
+                    memory.extend_unknown(capacity).await;
+                    body.reserve(capacity - body.len());
+                }
                 body.extend_from_slice(&chunk);
             }
-            Ok(Some(None)) => return Ok((body.freeze(), codec.into_message_codec())),
-            Ok(None) => read_more(reader, buffer).await?,
+            Ok(Some(None)) => {
+                let memory = memory.finish(body.capacity());
+                return Ok((body.freeze(), memory, codec.into_message_codec()));
+            }
+            Ok(None) => read_more(source).await?,
             Err(error) => return Err(error.to_string().into()),
         }
     }
 }
 
-/// Reads a body that is delimited by the end of the connection.
+/// Reads a body that is delimited by the end of the connection. Nothing is read while there is no memory for it.
 ///
 /// # Errors
 ///
 /// A description if reading fails, for example on a reset: the end of the body may then be missing.
-async fn read_until_close(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) -> Result<Bytes> {
+async fn read_until_close(
+    source: &mut ResponseSource<'_, '_>,
+) -> Result<(Bytes, Option<MemoryShare>)> {
+    let mut memory = source.body_memory();
     loop {
-        match reader.read_buf(buffer).await {
-            Ok(0) => return Ok(buffer.split().freeze()),
-            Ok(_) => check_length(buffer.len())?,
+        memory.extend_unknown(source.buffer.len()).await;
+        match source.reader.read_buf(source.buffer).await {
+            Ok(0) => {
+                let memory = memory.finish(source.buffer.capacity());
+                return Ok((source.buffer.split().freeze(), memory));
+            }
+            Ok(_) => check_length(source.buffer.len())?,
             Err(error) => return Err(error.to_string().into()),
         }
     }
 }
 
-/// Checks the number of bytes of a body that were received.
+/// Checks the number of bytes of a body.
 ///
 /// # Errors
 ///
@@ -220,13 +288,13 @@
     Ok(())
 }
 
-/// Reads more bytes into `buffer`.
+/// Reads more bytes into the buffer.
 ///
 /// # Errors
 ///
 /// A description if the connection ends or reading fails.
-async fn read_more(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) -> Result<()> {
-    match reader.read_buf(buffer).await {
+async fn read_more(source: &mut ResponseSource<'_, '_>) -> Result<()> {
+    match source.reader.read_buf(source.buffer).await {
         Ok(0) => Err("the connection ended before the answer".into()),
         Ok(_) => Ok(()),
         Err(error) => Err(error.to_string().into()),
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,8 +4,8 @@
 //! and servers do not expose: whether any byte of a request was sent, whether a response is complete, which
 //! request it belongs to, and when a caller has disconnected.
 
-pub mod body_budget;
 pub mod client;
+pub mod memory_budget;
 pub mod message;
 pub mod pool;
 pub mod server;
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -12,6 +12,8 @@
 use bytes::Bytes;
 use jy_types::name::Name;
 
+use crate::memory_budget::MemoryShare;
+
 /// Headers that apply to a single connection and are not forwarded.
 const CONNECTION_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
@@ -49,6 +51,8 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// Memory that the body uses, if it was read from a connection with a budget.
+    pub memory: Option<MemoryShare>,
 }
 
 impl HttpRequest {
@@ -92,6 +96,7 @@
             status,
             headers: HeaderMap::new(),
             body: Bytes::copy_from_slice(text.as_bytes()),
+            memory: None,
         }
     }
 
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use jy_kernel::clock;
@@ -12,6 +13,7 @@
 use crate::client::HttpConnection;
 use crate::client::ResponseCheck;
 use crate::client::Result;
+use crate::memory_budget::MemoryBudget;
 use crate::message::HttpRequest;
 use crate::message::HttpResponse;
 
@@ -32,6 +34,7 @@
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: RefCell<BTreeMap<SocketAddr, Vec<HttpConnection>>>,
+    memory: Option<Rc<MemoryBudget>>,
 }
 
 impl ConnectionPool {
@@ -41,6 +44,33 @@
         Self::default()
     }
 
+    /// Sets the budget from which responses take memory as they are read.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Rc<MemoryBudget>) -> Self {
+        self.memory = Some(memory);
+        self
+    }
+
+    /// Returns an empty pool with the same budget.
+    #[must_use]
+    pub fn with_same_memory(&self) -> Self {
+        Self {
+            memory: self.memory.clone(),
+            ..Self::default()
+        }
+    }
+
+    /// Whether there is memory for the response to a request that has not been sent. If not, this counts a refusal,
+    /// and the request is to be refused as not run.
+    #[must_use]
+    pub fn admits_unsent(&self) -> bool {
+        let Some(memory) = self.memory.as_ref().filter(|memory| !memory.has_room()) else {
+            return true;
+        };
+        memory.record_refused();
+        false
+    }
+
     /// Sends a request on an idle connection, or on a new one if none can be reused. A connection carries each id
     /// at most once.
     ///
@@ -56,7 +86,10 @@
     ) -> Result<HttpResponse> {
         let connection = match self.take_idle(to, options.max_idle_ms, check) {
             Some(connection) => connection,
-            None => HttpConnection::connect(to, options.connect_timeout_ms).await?,
+            None => {
+                let connection = HttpConnection::connect(to, options.connect_timeout_ms).await?;
+                connection.with_memory(self.memory.clone())
+            }
         };
         let exchange_future = connection.exchange(request, check, options.max_bytes_per_ms);
         let limit = Duration::from_millis(options.response_timeout_ms);
--- a/crates/http/tests/test_body_budget.rs
+++ b/crates/http/tests/test_memory_budget.rs
@@ -1,5 +1,6 @@
-//! Tests of the budget for bodies, alone and over connections.
+//! Tests of the budget for memory, alone and over connections.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +10,9 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use googletest::prelude::*;
-use jy_http::body_budget::BodyBudget;
+use jy_http::client::MAX_RESPONSE_BYTES;
+use jy_http::memory_budget::MemoryBudget;
+use jy_http::memory_budget::MemoryKind;
 use jy_http::message::HttpRequest;
 use jy_http::message::HttpResponse;
 use jy_http::message::header_text;
@@ -43,12 +46,12 @@
 /// # Panics
 ///
 /// Panics if no port can be bound.
-async fn listener() -> (SocketAddr, Rc<BodyBudget>) {
+async fn listener() -> (SocketAddr, Rc<MemoryBudget>) {
     let address = {
         let probe = std::net::TcpListener::bind("127.0.0.1:0").expect("failed to bind a free port");
         probe.local_addr().expect("failed to get the local address")
     };
-    let budget = Rc::new(BodyBudget::new(BUDGET_BYTES));
+    let budget = Rc::new(MemoryBudget::new(BUDGET_BYTES));
     let handle = |request: HttpRequest| async move {
         sleep(Duration::from_millis(HANDLING_MS)).await;
         HttpResponse::new(StatusCode::OK, &request.body.len().to_string())
@@ -59,7 +62,7 @@
         Rc::new(move |request, _| Box::pin(handle(request))),
         Rc::new(|| LIMITS),
     )
-    .with_body_budget(Rc::clone(&budget), Rc::new(refuse));
+    .with_memory(Rc::clone(&budget), Rc::new(refuse));
     listener
         .serve(address)
         .await
@@ -84,11 +87,14 @@
 
 #[gtest]
 fn reserve_large_bodies_leave_room_for_small_ones() {
-    let budget = Rc::new(BodyBudget::new(BUDGET_BYTES));
-    let large = budget.reserve(LARGE_BYTES);
+    let budget = Rc::new(MemoryBudget::new(BUDGET_BYTES));
+    let large = budget.reserve(MemoryKind::Body, LARGE_BYTES);
     expect_that!(large.is_some(), eq(true));
-    expect_that!(budget.reserve(LARGE_BYTES).is_none(), eq(true));
-    let small = budget.reserve(1_000);
+    expect_that!(
+        budget.reserve(MemoryKind::Body, LARGE_BYTES).is_none(),
+        eq(true)
+    );
+    let small = budget.reserve(MemoryKind::Body, 1_000);
     expect_that!(small.is_some(), eq(true));
     expect_that!(budget.used_bytes(), eq(LARGE_BYTES + 1_000));
     drop((large, small));
@@ -97,8 +103,10 @@
 
 #[gtest]
 fn grow_to_past_limit_changes_nothing() {
-    let budget = Rc::new(BodyBudget::new(BUDGET_BYTES));
-    let mut share = budget.reserve(1_000).expect("the budget is unused");
+    let budget = Rc::new(MemoryBudget::new(BUDGET_BYTES));
+    let mut share = budget
+        .reserve(MemoryKind::Body, 1_000)
+        .expect("the budget is unused");
     expect_that!(share.grow_to(BUDGET_BYTES), eq(false));
     expect_that!(share.grow_to(usize::MAX), eq(false));
     expect_that!(share.grow_to(LARGE_BYTES), eq(true));
@@ -114,7 +122,7 @@
         let large = join_all((0..4).map(|_| send(address, LARGE_BYTES)));
         let small = async {
             sleep(Duration::from_millis(HANDLING_MS / 3)).await;
-            let used_bytes = budget.used_bytes();
+            let used_bytes = budget.used_bytes_of(MemoryKind::Body);
             (used_bytes, send(address, 1_000).await)
         };
         let (large, (used_bytes, small)) = futures_util::future::join(large, small).await;
@@ -153,7 +161,7 @@
             .await
             .expect("failed to write the head");
         sleep(Duration::from_millis(LIMITS.read_ms / 2)).await;
-        expect_that!(budget.used_bytes(), eq(LARGE_BYTES));
+        expect_that!(budget.used_bytes_of(MemoryKind::Body), eq(LARGE_BYTES));
         let refused = send(address, LARGE_BYTES).await;
         expect_that!(refused.status, eq(StatusCode::SERVICE_UNAVAILABLE));
         sleep(Duration::from_millis(LIMITS.read_ms)).await;
@@ -180,9 +188,49 @@
             .await
             .expect("failed to write a chunk");
         sleep(Duration::from_millis(LIMITS.read_ms / 5)).await;
-        expect_that!(budget.used_bytes(), all![ge(200_000), le(400_000)]);
+        let used_bytes = budget.used_bytes_of(MemoryKind::Body);
+        expect_that!(used_bytes, all![ge(200_000), le(400_000)]);
         drop(sender);
         sleep(Duration::from_millis(LIMITS.read_ms / 5)).await;
         expect_that!(budget.used_bytes(), eq(0));
     });
 }
+
+/// Guards against a deadlock: requests never take the part that the largest response needs, not even with the
+/// smallest memory that the settings allow.
+#[gtest]
+fn reserve_requests_leave_room_for_largest_response() {
+    let budget = Rc::new(MemoryBudget::for_process(64.0));
+    let mut requests = Vec::new();
+    while let Some(share) = budget.reserve(MemoryKind::Body, 10_000) {
+        requests.push(share);
+    }
+    expect_that!(budget.has_room(), eq(true));
+    let response = budget.reserve(MemoryKind::Response, MAX_RESPONSE_BYTES);
+    expect_that!(response.is_some(), eq(true));
+    expect_that!(budget.has_room(), eq(false));
+}
+
+/// Guards against small responses that pass a large one for ever.
+#[gtest]
+fn wait_for_is_served_in_order() {
+    actix_rt::System::new().block_on(async {
+        let budget = Rc::new(MemoryBudget::new(BUDGET_BYTES));
+        let held = budget.reserve(MemoryKind::Response, BUDGET_BYTES / 2);
+        let ended = Rc::new(RefCell::new(Vec::new()));
+        for bytes in [BUDGET_BYTES, 1_000] {
+            let mut share = budget.share(MemoryKind::Response);
+            let ended = Rc::clone(&ended);
+            actix_rt::spawn(async move {
+                share.wait_for(bytes).await;
+                ended.borrow_mut().push(bytes);
+            });
+        }
+        sleep(Duration::from_millis(20)).await;
+        expect_that!(budget.waiting(), eq(2));
+        drop(held);
+        sleep(Duration::from_millis(20)).await;
+        expect_that!(*ended.borrow(), eq(&vec![BUDGET_BYTES, 1_000]));
+        expect_that!(budget.used_bytes(), eq(0));
+    });
+}
