http: only callers that read nothing are disconnected

Cause: the time limit of 5 s was on the whole response, so that a caller that reads slowly but steadily was cut off.

Change: the limit starts again with each part that the kernel takes. Callers that are disconnected are counted and logged.

Result: a new test with a reader that takes twice the limit for a part of its response.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -36,7 +36,7 @@
 /// free.
 const ACCEPT_RETRY_MS: u64 = 20;
 
-/// Time limit for writing a response to a caller that does not read it, in milliseconds. The longest timeout
+/// A caller that reads nothing of its response for this long is disconnected, in milliseconds. The longest timeout
 /// of callers in the deployments is 5 s.
 const WRITE_TIMEOUT_MS: u64 = 5_000;
 
@@ -151,7 +151,7 @@
         self
     }
 
-    /// Sets after how long a caller is disconnected that has not read its response, in milliseconds.
+    /// Sets after how long a caller is disconnected that reads nothing of its response, in milliseconds.
     #[must_use]
     pub const fn with_write_timeout_ms(mut self, write_timeout_ms: u64) -> Self {
         self.write_timeout_ms = write_timeout_ms;
@@ -281,7 +281,7 @@
             Err(WriteError::Stalled) => {
                 self.memory.record_stalled();
                 log::info!(
-                    "decision caller disconnected: its response was not read in {} ms, response={} bytes",
+                    "decision caller disconnected: it read nothing for {} ms, response={} bytes",
                     self.write_timeout_ms,
                     share.bytes()
                 );
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -39,6 +39,11 @@
 use crate::message::codec_config;
 use crate::message::strip_connection_headers;
 
+/// Bytes of a large response that the kernel takes before it sends them. By default it takes megabytes, of which a
+/// caller's reading would not be noticed before a third was sent. Half of this is the least that a caller must read
+/// in [`WRITE_TIMEOUT_MS`].
+const UNSENT_BYTES: u32 = 32 * 1024;
+
 /// Maximum number of bytes read ahead while a request is handled.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
 
@@ -67,12 +72,14 @@
     decoded_bytes: usize,
     /// Whether the request is a `HEAD` request, so that no body follows the head of its response.
     is_head_request: bool,
+    /// Whether the kernel takes at most [`UNSENT_BYTES`] before it sends them.
+    has_unsent_limit: bool,
 }
 
 /// Why a response was not written.
 #[derive(Debug, Error)]
 pub(super) enum WriteError {
-    /// The caller did not read it in time.
+    /// The caller read nothing for too long.
     #[error("the caller does not read")]
     Stalled,
     /// The response could not be encoded, or the connection ended.
@@ -91,6 +98,7 @@
             head_bytes: 0,
             decoded_bytes: 0,
             is_head_request: false,
+            has_unsent_limit: false,
         }
     }
 
@@ -328,7 +336,7 @@
     /// # Errors
     ///
     /// [`WriteError::Failed`] if the response can't be encoded or the connection ends, and [`WriteError::Stalled`] if
-    /// the caller does not read it within `timeout_ms`.
+    /// the caller reads nothing for `timeout_ms`.
     pub(super) async fn write_response(
         &mut self,
         response: HttpResponse,
@@ -367,6 +375,9 @@
             log::warn!("failed to encode a response: {error}");
             return Err(WriteError::Failed);
         }
+        if !is_copied {
+            self.limit_unsent();
+        }
         self.write_all(&bytes, timeout_ms).await?;
         if !is_copied {
             self.write_all(&body, timeout_ms).await?;
@@ -374,23 +385,37 @@
         Ok(())
     }
 
+    /// Makes the kernel take only [`UNSENT_BYTES`] ahead. A failure is only logged: a slow caller may then be taken
+    /// for one that does not read.
+    fn limit_unsent(&mut self) {
+        if std::mem::replace(&mut self.has_unsent_limit, true) {
+            return;
+        }
+        if let Err(error) = SockRef::from(&self.stream).set_tcp_notsent_lowat(UNSENT_BYTES) {
+            log::warn!("failed to set TCP_NOTSENT_LOWAT on a connection: {error}");
+        }
+    }
+
     /// Writes all bytes.
     ///
     /// # Errors
     ///
-    /// [`WriteError::Failed`] if the connection ends, and [`WriteError::Stalled`] if they are not written within
-    /// `timeout_ms`.
+    /// [`WriteError::Failed`] if the connection ends, and [`WriteError::Stalled`] if none is written for `timeout_ms`.
     async fn write_all(
         &mut self,
         bytes: &[u8],
         timeout_ms: u64,
     ) -> std::result::Result<(), WriteError> {
-        let write = self.stream.write_all(bytes);
-        match timeout(Duration::from_millis(timeout_ms), write).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(WriteError::Failed),
-            Err(_) => Err(WriteError::Stalled),
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            let write = self.stream.write(rest);
+            match timeout(Duration::from_millis(timeout_ms), write).await {
+                Ok(Ok(count @ 1..)) => rest = &rest[count..],
+                Ok(_) => return Err(WriteError::Failed),
+                Err(_) => return Err(WriteError::Stalled),
+            }
         }
+        Ok(())
     }
 
     /// Closes the connection after the caller has, or after `linger_ms` milliseconds. Closing with unread bytes
--- a/crates/http/tests/test_slow_readers.rs
+++ b/crates/http/tests/test_slow_readers.rs
@@ -18,6 +18,7 @@
 use jy_http::pool::SendOptions;
 use jy_http::server::HttpListener;
 use jy_http::server::ReadLimits;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
@@ -26,8 +27,12 @@
 
 /// The largest body that deployments allow.
 const LARGEST_BODY_BYTES: usize = 64 * 1024 * 1024;
-/// Receive buffer of a slow reader.
+/// Bytes that a slow reader takes at once, and its receive buffer.
 const READ_BYTES: usize = 32 * 1024;
+/// Interval and bytes of a reader that takes longer than [`WRITE_TIMEOUT_MS`] for a third of what the kernel buffers.
+const STEADY_INTERVAL_MS: u64 = 100;
+const SLOW_BYTES: usize = 20 * READ_BYTES;
+/// Far shorter than a slow reader needs for its response.
 const WRITE_TIMEOUT_MS: u64 = 600;
 /// Time for which a server handles a request.
 const HANDLING_MS: u64 = 500;
@@ -122,6 +127,41 @@
     stream
 }
 
+/// Reads a part every `interval_ms` until `length` bytes have arrived or the connection ends. Returns the number of bytes read.
+async fn read_slowly(stream: &mut TcpStream, length: usize, interval_ms: u64) -> usize {
+    let mut part = vec![0_u8; READ_BYTES];
+    let mut read_bytes = 0;
+    while read_bytes < length {
+        sleep(Duration::from_millis(interval_ms)).await;
+        match stream.read(&mut part).await {
+            Ok(count @ 1..) => read_bytes += count,
+            _ => break,
+        }
+    }
+    read_bytes
+}
+
+/// Guards against a limit on the whole time for writing, and against reading that is only noticed once the kernel has
+/// sent much of what it has taken: both cut off callers that read slowly but steadily.
+#[gtest]
+fn write_slow_but_steady_reader_gets_all() {
+    actix_rt::System::new().block_on(async {
+        let memory = unlimited();
+        let address = serve(&memory, WRITE_TIMEOUT_MS, async |_| {
+            response_of(MAX_RESPONSE_BYTES)
+        })
+        .await;
+        let mut stream = ask(address, "/p").await;
+        let started = std::time::Instant::now();
+        let slow_bytes = read_slowly(&mut stream, SLOW_BYTES, STEADY_INTERVAL_MS).await;
+        let elapsed_ms = started.elapsed().as_millis() as u64;
+        expect_that!(elapsed_ms, gt(2 * WRITE_TIMEOUT_MS), "the reader was slow");
+        let rest_bytes = read_slowly(&mut stream, MAX_RESPONSE_BYTES - slow_bytes, 0).await;
+        expect_that!(slow_bytes + rest_bytes, ge(MAX_RESPONSE_BYTES));
+        expect_that!(memory.stalled(), eq(0));
+    });
+}
+
 /// Guards against responses that are held for callers that read nothing.
 #[gtest]
 fn write_reader_that_stops_is_disconnected() {
