http: test of the largest bodies at once beside slow readers

Cause: ten bodies of the largest size at once were never played.

Change: ten senders of 64 MiB each and eight readers of 4 MiB each that read 32 KiB every 10 ms, over real connections through one budget, with 160 MB and with 260 MB.

Result: at least one body runs and the others are refused, every response arrives whole, the budget's peak stays within its limit plus the heads, and nothing is counted at the end.

--- a/crates/http/tests/test_slow_readers.rs
+++ b/crates/http/tests/test_slow_readers.rs
@@ -8,6 +8,7 @@
 use actix_http::StatusCode;
 use bytes::Bytes;
 use futures_util::future::join;
+use futures_util::future::join_all;
 use googletest::prelude::*;
 use jy_http::client::MAX_RESPONSE_BYTES;
 use jy_http::memory_budget::MemoryBudget;
@@ -27,8 +28,11 @@
 
 /// The largest body that deployments allow.
 const LARGEST_BODY_BYTES: usize = 64 * 1024 * 1024;
+const SENDERS: usize = 10;
+const READERS: usize = 8;
 /// Bytes that a slow reader takes at once, and its receive buffer.
 const READ_BYTES: usize = 32 * 1024;
+const READ_INTERVAL_MS: u64 = 10;
 /// Interval and bytes of a reader that takes longer than [`WRITE_TIMEOUT_MS`] for a third of what the kernel buffers.
 const STEADY_INTERVAL_MS: u64 = 100;
 const SLOW_BYTES: usize = 20 * READ_BYTES;
@@ -36,6 +40,8 @@
 const WRITE_TIMEOUT_MS: u64 = 600;
 /// Time for which a server handles a request.
 const HANDLING_MS: u64 = 500;
+/// More than the heads of all connections of a test.
+const HEADS_BYTES: usize = 64 * 1024;
 /// Time after which a test gives up waiting.
 const PATIENCE_MS: u64 = 20_000;
 const LIMITS: ReadLimits = ReadLimits {
@@ -311,3 +317,77 @@
         expect_that!(eventually(|| memory.used_bytes() == 0).await, eq(true));
     });
 }
+
+/// Plays ten senders of the largest body beside slow readers of the largest response, through a process that may use
+/// `memory_mb` megabytes.
+///
+/// # Panics
+///
+/// Panics if a sender gets no complete response.
+fn play_largest_messages(memory_mb: f64) {
+    actix_rt::System::new().block_on(async {
+        let memory = Rc::new(MemoryBudget::for_process(memory_mb));
+        let backend = serve(&unlimited(), PATIENCE_MS, async |request: HttpRequest| {
+            sleep(Duration::from_millis(HANDLING_MS)).await;
+            response_of(if request.body.is_empty() {
+                MAX_RESPONSE_BYTES
+            } else {
+                1
+            })
+        })
+        .await;
+        let pool = Rc::new(ConnectionPool::new().with_memory(Rc::clone(&memory)));
+        let address = serve(
+            &memory,
+            WRITE_TIMEOUT_MS,
+            async move |request: HttpRequest| {
+                let sent = pool.send(backend, &request, None, OPTIONS).await;
+                sent.unwrap_or_else(|error| {
+                    HttpResponse::new(StatusCode::BAD_GATEWAY, &error.to_string())
+                })
+            },
+        )
+        .await;
+        let body = Bytes::from(vec![b'b'; LARGEST_BODY_BYTES]);
+        let senders = (0..SENDERS).map(|_| {
+            let request = HttpRequest::new(Method::POST, "/p")
+                .with_header("host", "h")
+                .with_body(body.clone());
+            async move {
+                let pool = ConnectionPool::new();
+                let sent = pool.send(address, &request, None, OPTIONS).await;
+                sent.expect("the response is complete").status
+            }
+        });
+        let readers = (0..READERS).map(|_| async {
+            let mut stream = ask(address, "/p").await;
+            read_slowly(&mut stream, MAX_RESPONSE_BYTES, READ_INTERVAL_MS).await
+        });
+        let (statuses, read_bytes) = join(join_all(senders), join_all(readers)).await;
+        let count = |status| statuses.iter().filter(|sent| **sent == status).count();
+        let (run, refused) = (
+            count(StatusCode::OK),
+            count(StatusCode::SERVICE_UNAVAILABLE),
+        );
+        expect_that!(run, ge(1), "{statuses:?}");
+        expect_that!(run + refused, eq(SENDERS), "{statuses:?}");
+        expect_that!(read_bytes, each(ge(&MAX_RESPONSE_BYTES)));
+        let held_together = LARGEST_BODY_BYTES + READERS / 2 * MAX_RESPONSE_BYTES;
+        expect_that!(memory.peak_bytes(), ge(held_together), "the test is void");
+        expect_that!(memory.peak_bytes(), le(memory.limit_bytes() + HEADS_BYTES));
+        expect_that!(eventually(|| memory.used_bytes() == 0).await, eq(true));
+        expect_that!((memory.waiting(), memory.stalled()), eq((0, 0)));
+    });
+}
+
+/// Guards against an agent that is ended for its memory on most instances.
+#[gtest]
+fn serve_largest_messages_with_160_mb_is_bounded() {
+    play_largest_messages(160.0);
+}
+
+/// Guards against an agent that is ended for its memory on instances with more.
+#[gtest]
+fn serve_largest_messages_with_260_mb_is_bounded() {
+    play_largest_messages(260.0);
+}
