policy, edge: a backend server that crashed gets fewer bytes at once

Cause: a backend server crashes if the requests that it holds exceed its memory, and is crashed again by the same load as soon as it is back.

Change: policy::held_bytes counts the bodies in flight to the backend server. Exchanges that fail without an answer while 8 MiB or more are in flight, followed by a refused connection or a new incarnation, set a bound of half of that for 10 min. Bodies of 16 KiB and more beyond the bound are refused as not run. Without a crash nothing is refused.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -491,6 +491,8 @@
             .authority_ms
             .set(gauge_value(self.member.authority().since(now)));
         metrics.set_memory(&self.memory);
+        let (held_bytes, bound) = self.gate.held(now);
+        metrics.set_held(held_bytes, bound);
         metrics.gate_busy.set(i64::from(load.busy));
         metrics.gate_used_percent.set(i64::from(load.used_percent));
         metrics
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -44,6 +44,27 @@
     address: SocketAddr,
 }
 
+/// Counts the bytes of a request as held by the backend server until it is dropped.
+struct HeldGuard<'a> {
+    gate: &'a LocalGate,
+    bytes: u64,
+}
+
+impl Drop for HeldGuard<'_> {
+    fn drop(&mut self) {
+        self.gate.state.borrow_mut().held_bytes.end(self.bytes);
+    }
+}
+
+/// Logs a new bound on the bytes that the backend server holds.
+pub(crate) fn log_bound(bound: Option<u64>) {
+    if let Some(bytes) = bound {
+        log::info!(
+            "decision backend server gets at most bytes={bytes} at once: it crashed with more"
+        );
+    }
+}
+
 impl LocalGate {
     /// Sends a request to the backend server and waits for its response.
     pub(crate) async fn dispatch(&self, job: &GateJob, rule: &RouteRule) -> GateOutcome {
@@ -54,12 +75,13 @@
                 retry_ms: UNAVAILABLE_RETRY_MS,
             };
         };
-        if !self.pool.admits_unsent() {
+        let held = self.hold_bytes(sent_at, job.request.body.len() as u64);
+        let Some(_held) = held.filter(|_| self.pool.admits_unsent()) else {
             return GateOutcome::NotRun {
                 cause: NotRunCause::Overloaded,
                 retry_ms: MEMORY_RETRY_MS,
             };
-        }
+        };
         let left_ms = job.deadline.since(sent_at);
         let mut request = job.request.clone();
         strip_connection_headers(&mut request.headers);
@@ -101,6 +123,15 @@
         }
     }
 
+    /// Counts `bytes` bytes as held by the backend server, or returns `None` if it can't hold them.
+    fn hold_bytes(&self, now: Millis, bytes: u64) -> Option<HeldGuard<'_>> {
+        let is_held = self.state.borrow_mut().held_bytes.start(now, bytes);
+        if !is_held {
+            self.metrics.memory.held_refused.inc();
+        }
+        is_held.then(|| HeldGuard { gate: self, bytes })
+    }
+
     /// Measures the service time of a backend server that has just started, relative to that of a usual one, in
     /// percent. Returns `None` if its answers to status checks don't state it.
     pub(crate) async fn measure_service_time(&self, health_path: &str) -> Option<u32> {
@@ -232,8 +263,18 @@
 
     /// Determines the outcome of an exchange without a complete response, and records a refused connection.
     fn handle_error(&self, target: &DispatchTarget, error: &ExchangeError) -> GateOutcome {
+        let now = clock::now();
+        let is_leaving = self
+            .backend
+            .read(|backend| backend.is_some_and(|backend| backend.leaving_since.is_some()));
         if let ExchangeError::ConnectionRefused { .. } = error {
             self.backend.mark_refused(&target.incarnation.id);
+            if !is_leaving {
+                log_bound(self.state.borrow_mut().held_bytes.record_refusal(now));
+            }
+        }
+        if error.may_have_run() && !is_leaving {
+            log_bound(self.state.borrow_mut().held_bytes.record_failure(now));
         }
         if error.may_have_run() {
             return GateOutcome::Unknown {
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -19,6 +19,7 @@
 use jy_policy::choice::GateLoad;
 use jy_policy::cold::ColdStartLimiter;
 use jy_policy::cold_check::ColdCheckSchedule;
+use jy_policy::held_bytes::HeldBytes;
 use jy_policy::moving::TYPICAL_MOVE_GAP_MS;
 use jy_policy::moving::max_wait_ms;
 use jy_policy::offered::OfferedWork;
@@ -35,6 +36,7 @@
 use tokio::time::timeout;
 
 use crate::backend::SharedBackend;
+use crate::dispatch::log_bound;
 use crate::feed::SnapshotSender;
 use crate::forward::GateJob;
 use crate::forward::GateOutcome;
@@ -83,6 +85,8 @@
     /// Signals a waiting large body, by its ticket, that it may be sent.
     pub(crate) transfer_senders: BTreeMap<u64, oneshot::Sender<()>>,
     pub(crate) next_ticket: u64,
+    /// Bytes of the requests that the backend server holds.
+    pub(crate) held_bytes: HeldBytes,
     pub(crate) incarnation: Option<BackendIncarnation>,
 }
 
@@ -140,6 +144,7 @@
             transfers: TransferQueue::new(link_bytes_per_ms),
             transfer_senders: BTreeMap::new(),
             next_ticket: 0,
+            held_bytes: HeldBytes::new(),
             incarnation: None,
         };
         Self {
@@ -361,6 +366,7 @@
             };
             let mut state = self.state.borrow_mut();
             if state.incarnation.as_ref() != Some(&backend.announced.incarnation) {
+                log_bound(state.held_bytes.record_restart(now));
                 state.incarnation = Some(backend.announced.incarnation.clone());
                 state.service_times.clear();
                 state.relative_service_time = ServiceTimeMean::new();
@@ -493,6 +499,13 @@
         }
     }
 
+    /// Returns the bytes of requests that the backend server holds, and the bound on them if there is one.
+    #[must_use]
+    pub fn held(&self, now: Millis) -> (u64, Option<u64>) {
+        let held_bytes = &self.state.borrow().held_bytes;
+        (held_bytes.in_flight(), held_bytes.bound(now))
+    }
+
     /// Returns the share of the capacity in use, and the share that each bucket of keys uses.
     #[must_use]
     pub fn usage(&self, now: Millis) -> (f64, BTreeMap<u16, f64>) {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -78,6 +78,12 @@
     pub refused: Counter,
     /// Callers disconnected that did not read their responses.
     pub stalled: Counter,
+    /// Bytes of requests that the backend server holds.
+    pub held: Gauge,
+    /// Bound on them; 0 if there is none.
+    pub held_bound: Gauge,
+    /// Requests refused since the backend server can't hold them.
+    pub held_refused: Counter,
 }
 
 impl EdgeMetrics {
@@ -158,12 +164,16 @@
             ("memory_body_bytes", "Bodies of requests", &memory.bodies),
             ("memory_response_bytes", "Responses", &memory.responses),
             ("memory_waiting", "Responses not read on", &memory.waiting),
+            ("held_bytes", "Requests in flight", &memory.held),
+            ("held_bound_bytes", "Bound on them", &memory.held_bound),
         ];
         for (name, help, gauge) in gauges {
             registry.register(name, help, gauge.clone());
         }
         let refused = memory.refused.clone();
         registry.register("memory_refused", "Refused for lack of memory", refused);
+        let held_refused = memory.held_refused.clone();
+        registry.register("held_refused", "Refused beyond the bound", held_refused);
         let stalled = memory.stalled.clone();
         registry.register("stalled_callers", "Callers that read nothing", stalled);
     }
@@ -189,6 +199,15 @@
         stalled.inc_by(budget.stalled().saturating_sub(stalled.get()));
     }
 
+    /// Sets the metrics of the bytes that the backend server holds.
+    pub fn set_held(&self, held_bytes: u64, bound: Option<u64>) {
+        let set = |gauge: &Gauge, number: u64| {
+            gauge.set(i64::try_from(number).unwrap_or(i64::MAX));
+        };
+        set(&self.memory.held, held_bytes);
+        set(&self.memory.held_bound, bound.unwrap_or_default());
+    }
+
     /// Counts a request's outcome.
     pub fn count(&self, route: &str, outcome: &str) {
         let labels = OutcomeLabels {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`capacity`]: weights of backend servers of different speeds.
 //! - [`choice`]: load balancing among backend servers of different speeds.
 //! - [`cold`]: rate limit for a backend server in cold start.
+//! - [`held_bytes`]: bound on the bytes that a backend server holds, learned from its crashes.
 //! - [`leaving`]: requests for the keys of a backend server that leaves.
 //! - [`moving`]: waiting for keys that move between backend servers.
 //! - [`offered`]: measurement of offered work and overload.
@@ -19,6 +20,7 @@
 pub mod choice;
 pub mod cold;
 pub mod cold_check;
+pub mod held_bytes;
 pub mod leaving;
 pub mod moving;
 pub mod offered;
