edge, http: a gateway without memory does not blame other agents

Cause: a gateway that did not send a request for lack of its own memory recorded the agent that it had chosen as unreachable.

Change: the gateway checks before it chooses an agent, ends the request as not run with outcome no-memory, and does not hedge. A connection drops its buffer after a larger request; its capacity did not tell what it holds.

Result: a new test of the gateway: the request is refused with Retry-After and not sent, and the next one is sent at once when there is memory. All tests of http and edge pass.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -224,9 +224,6 @@
     job: &GateJob,
     limits: TransferLimits,
 ) -> GateReport {
-    if !pool.admits_unsent() {
-        return GateReport::not_run(NotRunCause::Overloaded, MEMORY_RETRY_MS, None);
-    }
     let grant = if transfer::needs_grant(job.request.body.len() as u64) {
         match transfer::request_grant(pool, address, job, limits.admit_by).await {
             Ok(grant) => Some(grant),
--- a/crates/edge/src/gateway/selection.rs
+++ b/crates/edge/src/gateway/selection.rs
@@ -18,15 +18,22 @@
 use super::MAX_GATES_ASKED;
 use crate::forward::GateOutcome;
 use crate::forward::GateReport;
+use crate::forward::MEMORY_RETRY_MS;
 use crate::snapshot::FleetSnapshot;
 use crate::transfer;
 
 impl CallerGateway {
-    /// Chooses the next agent. If a key has no reachable owner at the first attempt, waits for another owner.
+    /// Chooses the next agent. If a key has no reachable owner at the first attempt, waits for another owner. Returns
+    /// `None` if no other one is to be asked, or if there is no memory for a response.
     pub(super) async fn next_node(&self, call: &mut CallState, is_keyed: bool) -> Option<Name> {
         if call.attempts_started >= MAX_GATES_ASKED {
             return None;
         }
+        if !self.pool.admits_unsent() {
+            call.last_failure = "no-memory";
+            call.retry_ms = call.retry_ms.max(MEMORY_RETRY_MS);
+            return None;
+        }
         if !is_keyed {
             return self.pick_node(call);
         }
@@ -61,6 +68,9 @@
 
     /// Chooses an agent to hedge a slow request, if the attempts and the retry budget allow it.
     pub(super) fn pick_hedge_node(&self, call: &CallState) -> Option<Name> {
+        if !self.pool.has_memory() {
+            return None;
+        }
         let node = self.pick_node(call)?;
         let has_attempts = call.backends_reached + 1 < call.rule.max_attempts;
         (has_attempts
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -27,8 +27,11 @@
 use jy_edge::snapshot::ObservedInstance;
 use jy_edge::snapshot::VersionedRanges;
 use jy_edge::transfer::TRANSFER_PATH;
+use jy_http::memory_budget::MemoryBudget;
+use jy_http::memory_budget::MemoryKind;
 use jy_http::message::HttpRequest;
 use jy_http::message::HttpResponse;
+use jy_http::message::header_text;
 use jy_http::server::Handler;
 use jy_http::server::HttpListener;
 use jy_http::server::ReadLimits;
@@ -159,6 +162,11 @@
 
 /// Builds a gateway with the given snapshot and no backend server beside it.
 fn gateway(snapshot: FleetSnapshot) -> Rc<CallerGateway> {
+    gateway_with_memory(snapshot, Rc::new(MemoryBudget::new(usize::MAX)))
+}
+
+/// Builds such a gateway whose responses take memory from a budget.
+fn gateway_with_memory(snapshot: FleetSnapshot, memory: Rc<MemoryBudget>) -> Rc<CallerGateway> {
     let snapshot: Rc<SnapshotSender> = Rc::new(watch::Sender::new(Rc::new(snapshot)));
     let metrics = Rc::new(EdgeMetrics::new());
     let backend = Rc::new(LocalBackend::new("own".into(), Millis(0), 10_000, 1_000));
@@ -175,7 +183,7 @@
         node: "own".into(),
         zone: "z".into(),
         origin: "s".into(),
-        gate: Rc::new(gate),
+        gate: Rc::new(gate.with_memory(memory)),
         snapshot,
         link_bytes_per_ms: LINK_BYTES_PER_MS,
         budget: BudgetLimits {
@@ -431,3 +439,40 @@
     remove_peer_headers(&mut request.headers);
     expect_that!(is_forwarded(&request), eq(false));
 }
+
+/// Guards against requests that run although there is no memory for their responses, and against agents that are taken
+/// for unreachable because of that.
+#[gtest]
+fn serve_without_memory_is_refused_and_not_sent() {
+    actix_rt::System::new().block_on(async {
+        let request_count = Rc::new(Cell::new(0));
+        let report = GateReport {
+            outcome: answered(),
+            load: None,
+        };
+        let gate = serve_other_gate(report, Rc::clone(&request_count)).await;
+        let memory = Rc::new(MemoryBudget::new(1_000_000));
+        let snapshot = snapshot(routes(false, true), gate, None);
+        let gateway = gateway_with_memory(snapshot, Rc::clone(&memory));
+        let mut responses = memory.share(MemoryKind::Response);
+        responses.set_to(1_000_000);
+        let request = HttpRequest::new(Method::GET, "/p/x")
+            .with_header("host", "h.example")
+            .with_header("x-request-id", "r1");
+        let refused = Rc::clone(&gateway)
+            .serve(request.clone(), clock::now())
+            .await;
+        expect_that!(refused.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+        expect_that!(
+            header_text(&refused.headers, "retry-after"),
+            some(eq("0.500"))
+        );
+        expect_that!(request_count.get(), eq(0));
+        drop(responses);
+        let answer = gateway.serve(request, clock::now()).await;
+        expect_that!(answer.status, eq(StatusCode::OK));
+        expect_that!(request_count.get(), eq(1));
+        drop(answer);
+        expect_that!(memory.used_bytes(), eq(0));
+    });
+}
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -60,15 +60,21 @@
         }
     }
 
-    /// Whether there is memory for the response to a request that has not been sent. If not, this counts a refusal,
-    /// and the request is to be refused as not run.
+    /// Whether there is memory for the response to a request that has not been sent.
+    #[must_use]
+    pub fn has_memory(&self) -> bool {
+        self.memory.as_ref().is_none_or(|memory| memory.has_room())
+    }
+
+    /// Whether a request that has not been sent may be sent, as [`Self::has_memory`] says. If not, this counts a
+    /// refusal, and the request is to be refused as not run.
     #[must_use]
     pub fn admits_unsent(&self) -> bool {
-        let Some(memory) = self.memory.as_ref().filter(|memory| !memory.has_room()) else {
-            return true;
-        };
-        memory.record_refused();
-        false
+        let has_memory = self.has_memory();
+        if let Some(memory) = self.memory.as_ref().filter(|_| !has_memory) {
+            memory.record_refused();
+        }
+        has_memory
     }
 
     /// Sends a request on an idle connection, or on a new one if none can be reused. A connection carries each id
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -53,7 +53,7 @@
 /// Heads up to this size are received from other agents without memory, in bytes.
 const SMALL_HEAD_BYTES: usize = 8 * 1024;
 
-/// Largest buffer that a connection keeps between requests, in bytes: it holds a usual request.
+/// A connection keeps its buffer after requests up to this size, in bytes: it holds a usual request.
 const MAX_IDLE_BUFFER_BYTES: usize = 8 * 1024;
 
 /// Bytes that are read at once and discarded.
@@ -72,6 +72,8 @@
     decoded_bytes: usize,
     /// Whether the request is a `HEAD` request, so that no body follows the head of its response.
     is_head_request: bool,
+    /// Whether the buffer may have grown for the request.
+    has_large_buffer: bool,
     /// Whether the kernel takes at most [`UNSENT_BYTES`] before it sends them.
     has_unsent_limit: bool,
 }
@@ -98,6 +100,7 @@
             head_bytes: 0,
             decoded_bytes: 0,
             is_head_request: false,
+            has_large_buffer: false,
             has_unsent_limit: false,
         }
     }
@@ -223,6 +226,7 @@
         let body = self
             .read_body(limits, announced_bytes, &mut body_share)
             .await?;
+        self.has_large_buffer = self.head_bytes + body.len() > MAX_IDLE_BUFFER_BYTES;
         let request = HttpRequest {
             method: request.method().clone(),
             target,
@@ -320,7 +324,8 @@
     pub(super) fn release_buffer(&mut self) {
         self.head_bytes = 0;
         self.head_share.set_to(self.buffer.len());
-        if self.buffer.is_empty() && self.buffer.capacity() > MAX_IDLE_BUFFER_BYTES {
+        // The capacity does not tell how much memory the buffer holds.
+        if self.has_large_buffer && self.buffer.is_empty() {
             self.buffer = BytesMut::new();
         }
     }
