http: heads of handled requests are not counted while responses are written

Cause: the head of a request counted until its response was written, although its memory is released when it was handled.

Change: the count ends with the handler.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -236,6 +236,7 @@
                 return;
             };
             drop(body_share);
+            caller.release_buffer();
             let is_last = *self.closing.borrow() || !caller.keep_alive();
             let linger_ms = is_last.then_some(LINGER_MS);
             let is_written = self.write_response(&mut caller, response, linger_ms).await;
@@ -243,7 +244,6 @@
             if is_last || !is_written {
                 return;
             }
-            caller.release_buffer();
         }
     }
 
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -320,7 +320,7 @@
         length < READ_AHEAD_BYTES && self.head_share.grow_to(counted_bytes + length)
     }
 
-    /// Ends the use of memory by a request that was answered. Keeps what was read ahead.
+    /// Ends the use of memory by a request that was handled. Keeps what was read ahead.
     pub(super) fn release_buffer(&mut self) {
         self.head_bytes = 0;
         self.head_share.set_to(self.buffer.len());
