--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jy_http::memory_budget::MemoryBudget;
 use jy_http::pool::ConnectionPool;
 use jy_kernel::clock;
 use jy_policy::admission::Admission;
@@ -18,6 +19,7 @@
 use jy_policy::choice::GateLoad;
 use jy_policy::cold::ColdStartLimiter;
 use jy_policy::cold_check::ColdCheckSchedule;
+use jy_policy::held_bytes::HeldBytes;
 use jy_policy::key_check::may_dispatch;
 use jy_policy::moving::TYPICAL_MOVE_GAP_MS;
 use jy_policy::moving::max_wait_ms;
@@ -35,6 +37,7 @@
 use tokio::time::timeout;
 
 use crate::backend::SharedBackend;
+use crate::dispatch::log_bound;
 use crate::feed::SnapshotSender;
 use crate::forward::GateJob;
 use crate::forward::GateOutcome;
@@ -84,6 +87,8 @@
     /// Signals a waiting large body, by its ticket, that it may be sent.
     pub(crate) transfer_senders: BTreeMap<u64, oneshot::Sender<()>>,
     pub(crate) next_ticket: u64,
+    /// Bytes of the requests that the backend server holds.
+    pub(crate) held_bytes: HeldBytes,
     pub(crate) incarnation: Option<BackendIncarnation>,
 }
 
@@ -141,6 +146,7 @@
             transfers: TransferQueue::new(link_bytes_per_ms),
             transfer_senders: BTreeMap::new(),
             next_ticket: 0,
+            held_bytes: HeldBytes::new(),
             incarnation: None,
         };
         Self {
@@ -155,6 +161,14 @@
         }
     }
 
+    /// Sets the budget from which responses take memory, also those that a gateway with this gate reads from other
+    /// agents.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Rc<MemoryBudget>) -> Self {
+        self.pool = ConnectionPool::new().with_memory(memory);
+        self
+    }
+
     /// Refuses all requests and bodies that wait for their turn.
     pub fn refuse_waiting(&self) {
         let mut state = self.state.borrow_mut();
@@ -388,6 +402,7 @@
             };
             let mut state = self.state.borrow_mut();
             if state.incarnation.as_ref() != Some(&backend.announced.incarnation) {
+                log_bound(state.held_bytes.record_restart(now));
                 state.incarnation = Some(backend.announced.incarnation.clone());
                 state.service_times.clear();
                 state.relative_service_time = ServiceTimeMean::new();
@@ -527,6 +542,13 @@
         (state.queue.waiting(), state.queue.waiting_late())
     }
 
+    /// Returns the bytes of requests that the backend server holds, and the bound on them if there is one.
+    #[must_use]
+    pub fn held(&self, now: Millis) -> (u64, Option<u64>) {
+        let held_bytes = &self.state.borrow().held_bytes;
+        (held_bytes.in_flight(), held_bytes.bound(now))
+    }
+
     /// Returns the share of the capacity in use, and the share that each bucket of keys uses.
     #[must_use]
     pub fn usage(&self, now: Millis) -> (f64, BTreeMap<u16, f64>) {
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -162,6 +162,7 @@
     /// Creates a gateway.
     #[must_use]
     pub fn new(parts: GatewayParts) -> Self {
+        let pool = Rc::new(parts.gate.pool.with_same_memory());
         Self {
             node: parts.node,
             zone: parts.zone,
@@ -173,7 +174,7 @@
             budget: Cell::new(parts.budget),
             quota: parts.quota,
             keys: parts.keys,
-            pool: Rc::new(ConnectionPool::new()),
+            pool,
             caller_ages: RefCell::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
             bytes_per_ms: transfer_rate(parts.link_bytes_per_ms) as u64,
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -14,6 +14,8 @@
 use bytes::Bytes;
 use jy_types::name::Name;
 
+use crate::memory_budget::MemoryShare;
+
 /// Headers that apply to a single connection and are not forwarded.
 const CONNECTION_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
@@ -54,6 +56,8 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// Memory that the body uses, if it was read from a connection with a budget.
+    pub memory: Option<MemoryShare>,
 }
 
 impl fmt::Debug for HttpRequest {
@@ -130,6 +134,7 @@
             status,
             headers: HeaderMap::new(),
             body: Bytes::copy_from_slice(text.as_bytes()),
+            memory: None,
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`cold`]: rate limit for a backend server in cold start.
 //! - [`key_check`]: requests with API keys while the configuration may be too old.
 //! - [`forecast`]: capacity that is left for late requests.
+//! - [`held_bytes`]: bound on the bytes that a backend server holds, learned from its crashes.
 //! - [`leaving`]: requests for the keys of a backend server that leaves.
 //! - [`moving`]: waiting for keys that move between backend servers.
 //! - [`offered`]: measurement of offered work and overload.
@@ -27,6 +28,7 @@
 pub mod cold_check;
 mod decay;
 pub mod forecast;
+pub mod held_bytes;
 pub mod key_check;
 pub mod leaving;
 pub mod moving;
