platform, feed, edge: the era of the store's answers

After a drill the store comes back from an older copy and issues revisions again, so that a replica that only takes higher revisions would keep lost records and miss new ones for good.

The store client reads Store-Era from each answer (absent: 0). Batches, leases and applied commits carry it; a list with pages of two eras is rejected, and a lease of an earlier era counts as ended. A replica takes changes of its own era only and replaces all records by a list of a later one. Agents that read from one another state their eras: one of an earlier era gets all records, one of a later era is refused, one that states none is served as before. The agent's record, its set of witnesses and its leaving are written again under a lease of the new era; renewals count for the right to grant only once the store's tables name the owner again, which the range manager is yet to tell. Without the header nothing changes but a field in the query between agents.

--- a/crates/agent/src/feed.rs
+++ b/crates/agent/src/feed.rs
@@ -116,6 +116,7 @@
         let changed = RecordBatch {
             records,
             complete_to,
+            era: 0,
         };
         let listeners = self.listeners.borrow().clone();
         for listener in listeners {
@@ -151,6 +152,7 @@
         RecordBatch {
             records,
             complete_to: revision,
+            era: 0,
         }
     }
 }
@@ -237,6 +239,7 @@
     feed.apply_batch(RecordBatch {
         records: answer.records,
         complete_to: answer.revision,
+        era: 0,
     });
     Ok(())
 }
--- a/crates/bench/src/placement.rs
+++ b/crates/bench/src/placement.rs
@@ -398,6 +398,7 @@
     let batch = RecordBatch {
         records: fleet.store().records().cloned().collect(),
         complete_to: fleet.store().revision(),
+        era: 0,
     };
     let control = ControlState::new(ControlSettings::default(), 1);
     let now = fleet.now();
--- a/crates/control/src/fake_calls.rs
+++ b/crates/control/src/fake_calls.rs
@@ -211,6 +211,7 @@
         let batch = RecordBatch {
             records: records.cloned().collect(),
             complete_to: self.store.revision(),
+            era: 0,
         };
         if batch.records.is_empty() {
             return None;
--- a/crates/control/tests/test_core.rs
+++ b/crates/control/tests/test_core.rs
@@ -71,6 +71,7 @@
         let batch = RecordBatch {
             records: vec![record],
             complete_to: self.revision,
+            era: 0,
         };
         self.send(ControlEvent::Records(batch));
     }
--- a/crates/ctl/src/replay.rs
+++ b/crates/ctl/src/replay.rs
@@ -350,6 +350,7 @@
             |answer| RecordBatch {
                 records: answer.records,
                 complete_to: answer.revision,
+                era: 0,
             },
         )
     }
--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -37,6 +37,7 @@
 use crate::announcements::AnnouncementListener;
 use crate::backend::LocalBackend;
 use crate::backend::SharedBackend;
+use crate::era::StoreEra;
 use crate::feed;
 use crate::feed::FeedPart;
 use crate::feed::FeedState;
@@ -107,6 +108,7 @@
     /// Agents' records, relayed to other agents.
     fleet: RelayedRecords,
     is_shutting_down: Rc<Cell<bool>>,
+    era: Rc<StoreEra>,
 }
 
 /// Runs an agent until SIGTERM or SIGINT.
@@ -146,7 +148,8 @@
     /// Creates all parts without starting them.
     fn new(settings: EdgeSettings) -> Self {
         let now = clock::now();
-        let store = StoreClient::new(settings.store);
+        let era = Rc::new(StoreEra::new());
+        let store = StoreClient::new(settings.store).with_on_era(era.recorder());
         let snapshot: Rc<SnapshotSender> =
             Rc::new(watch::Sender::new(Rc::new(FleetSnapshot::default())));
         let metrics = Rc::new(EdgeMetrics::new());
@@ -226,12 +229,13 @@
             feed,
             refresh_requested,
             is_shutting_down,
+            era,
         }
     }
 
     /// Starts the background tasks.
     fn start(self: &Rc<Self>, starter: &TaskStarter) {
-        let store = StoreClient::new(self.settings.store);
+        let store = self.store_client();
         let operator = self.record_feed(&self.operator);
         starter.start("operator feed", async move { operator.run().await });
         let fleet = self.record_feed(&self.fleet);
@@ -260,12 +264,17 @@
         starter.start("key ranges", async move { range_manager.run().await });
     }
 
+    /// Creates a client of the store that records the era of its answers.
+    fn store_client(&self) -> StoreClient {
+        StoreClient::new(self.settings.store).with_on_era(self.era.recorder())
+    }
+
     /// Creates the feed of `records`.
     fn record_feed(&self, records: &RelayedRecords) -> Rc<RecordFeed> {
         Rc::new(RecordFeed {
             node: Name::clone(&self.settings.name),
             zone: Name::clone(&self.settings.zone),
-            store: StoreClient::new(self.settings.store),
+            store: self.store_client(),
             part: records.part,
             snapshot: Rc::clone(&self.snapshot),
             state: Rc::clone(&self.feed),
@@ -274,6 +283,7 @@
             proved_until: Rc::clone(&records.proved_until),
             pool: ConnectionPool::new(),
             avoided: RefCell::default(),
+            era: Rc::clone(&self.era),
         })
     }
 
@@ -446,12 +456,9 @@
         request: &HttpRequest,
         records: RelayedRecords,
     ) -> LocalBoxFuture<'static, HttpResponse> {
-        let after = request.target.rsplit_once("after=").map(|(_, after)| after);
-        let after = after
-            .and_then(|after| after.parse().ok())
-            .unwrap_or_default();
+        let (after, era) = feed::relay_query(&request.target);
         Box::pin(async move {
-            let Some(body) = feed::answer_relay(after, records).await else {
+            let Some(body) = feed::answer_relay(after, era, records).await else {
                 let reason = "the store is out of reach here";
                 return refusal::rejected(StatusCode::SERVICE_UNAVAILABLE, reason);
             };
--- a/crates/edge/src/feed.rs
+++ b/crates/edge/src/feed.rs
@@ -35,6 +35,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::era::StoreEra;
 use crate::snapshot::AGENT_RECORD_PREFIX;
 use crate::snapshot::FleetSnapshot;
 
@@ -154,6 +155,9 @@
 struct RelayResponse {
     /// The records that changed since the revision in the request.
     batch: RecordBatch,
+    /// Whether the batch has all records, since the request named an earlier era of the store.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    is_whole: bool,
     /// How long the request waited for changes, in milliseconds.
     waited_ms: u64,
     /// Age of the proof that there is nothing newer, in milliseconds.
@@ -184,6 +188,8 @@
     pub pool: ConnectionPool,
     /// Agents that failed to provide the records, and until when they are not asked again.
     pub avoided: RefCell<BTreeMap<Name, Millis>>,
+    /// The newest era that the store has stated to this agent.
+    pub era: Rc<StoreEra>,
 }
 
 impl RecordFeed {
@@ -230,6 +236,11 @@
                     record_answer(&self.state, now);
                     continue;
                 }
+                Err(StoreError::OtherEra { era }) => {
+                    log::info!("belief store is in era {era}; listing all records again");
+                    is_listed = false;
+                    record_answer(&self.state, now);
+                }
                 Err(error) => {
                     // A watch whose connection was cut may have missed changes, so all records are listed
                     // again.
@@ -263,10 +274,11 @@
         let Some(reader) = preferred.filter(|reader| reader.node != self.node) else {
             return RelayOutcome::UseStore;
         };
-        let is_fresh = match self.request_changes(reader.gate).await {
+        let response = self.request_changes(reader.gate).await;
+        let is_fresh = match response.filter(|response| self.is_usable(response)) {
             Some(response) => {
                 let proved_until = now.plus(response.waited_ms).minus(response.proof_age_ms);
-                self.apply_batch(response.batch, false);
+                self.apply_batch(response.batch, response.is_whole);
                 self.proved_until
                     .set(proved_until.max(self.proved_until.get()));
                 let age_ms = clock::now().since(self.proved_until.get());
@@ -290,6 +302,21 @@
         RelayOutcome::Stale
     }
 
+    /// Whether the records of another agent can be applied: they are of the newest era that this agent knows of, and
+    /// complete if they are of a later one than its own records.
+    fn is_usable(&self, response: &RelayResponse) -> bool {
+        let own = self.replica.borrow().era();
+        let era = response.batch.era;
+        let is_usable =
+            era >= self.era.newest() && (era == own || (era > own && response.is_whole));
+        if !is_usable {
+            log::info!(
+                "belief records of another agent are of era {era}, own records of era {own}"
+            );
+        }
+        is_usable
+    }
+
     /// Longest wait of a watch on the store, in milliseconds.
     fn watch_ms(&self) -> u64 {
         let is_relayed = self.snapshot.borrow().agents_in_zone(&self.zone) >= MIN_RELAY_AGENTS;
@@ -302,8 +329,11 @@
 
     /// Requests the changes since the replica's revision from another agent.
     async fn request_changes(&self, to: SocketAddr) -> Option<RelayResponse> {
-        let after = self.replica.borrow().complete_to();
-        let target = format!("{}?after={after}", self.part.path());
+        let target = {
+            let replica = self.replica.borrow();
+            let (era, after) = (replica.era(), replica.complete_to());
+            format!("{}?era={era}&after={after}", self.part.path())
+        };
         let request = HttpRequest::new(Method::GET, &target).with_header("host", "fleet");
         let options = SendOptions {
             connect_timeout_ms: RELAY_CONNECT_TIMEOUT_MS,
@@ -343,15 +373,30 @@
     pub async fn catch_up(&self) -> Result<()> {
         let after = self.replica.borrow().complete_to();
         let batch = self.store.watch(self.part.prefix(), after, MIN_WATCH_MS);
-        self.apply_batch(batch.await?, false);
+        let batch = self.check_era(batch.await?)?;
+        self.apply_batch(batch, false);
         Ok(())
     }
 
-    /// Applies a record that this agent has written.
-    pub fn apply_written(&self, record: Record) {
+    /// Returns a batch of changes if it is of the era of the replica.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::OtherEra`] otherwise.
+    fn check_era(&self, batch: RecordBatch) -> Result<RecordBatch> {
+        if batch.era == self.replica.borrow().era() {
+            Ok(batch)
+        } else {
+            Err(StoreError::OtherEra { era: batch.era })
+        }
+    }
+
+    /// Applies a record that this agent has written in an era of the store.
+    pub fn apply_written(&self, record: Record, era: u64) {
         let batch = RecordBatch {
             records: vec![record],
             complete_to: 0,
+            era,
         };
         self.apply_batch(batch, false);
     }
@@ -365,7 +410,7 @@
         let list = self.store.list(key).await?;
         let batch = RecordBatch {
             complete_to: 0,
-            ..list
+            ..self.check_era(list)?
         };
         self.apply_batch(batch, false);
         Ok(())
@@ -379,6 +424,10 @@
     async fn list(&self) -> Result<bool> {
         let sent_at = clock::now();
         let list = self.store.list(self.part.prefix()).await?;
+        // An answer of an earlier era may arrive after one of a later era.
+        if list.era < self.replica.borrow().era() {
+            return Err(StoreError::OtherEra { era: list.era });
+        }
         self.apply_batch(list, true);
         self.proved_until.set(sent_at);
         if self.part == FeedPart::Fleet {
@@ -396,10 +445,18 @@
     /// Returns a [`StoreError`] if the store can't be read, or if it has dropped the history since the
     /// replica's revision.
     async fn follow(&self) -> Result<bool> {
-        let after = self.replica.borrow().complete_to();
+        let (after, own_era) = {
+            let replica = self.replica.borrow();
+            (replica.complete_to(), replica.era())
+        };
         let sent_at = clock::now();
         let wait_ms = self.watch_ms();
-        let batch = self.store.watch(self.part.prefix(), after, wait_ms).await?;
+        let batch = tokio::select! {
+            batch = self.store.watch(self.part.prefix(), after, wait_ms) => self.check_era(batch?)?,
+            () = self.era.wait_for_later(own_era) => {
+                return Err(StoreError::OtherEra { era: self.era.newest() });
+            }
+        };
         // The store answers a watch without changes when its wait is over, so nothing changed until then. It
         // answers a watch with changes at an unknown time after the request.
         let is_idle = batch.records.is_empty();
@@ -416,13 +473,15 @@
         } else {
             replica.with_batch(batch)
         };
-        let complete_to = replica.complete_to();
+        let (complete_to, era) = (replica.complete_to(), replica.era());
         self.replica.replace(replica);
         let has_updates = !changed.is_empty();
         let current = Rc::clone(&self.snapshot.borrow());
-        if has_updates || current.revision_of(self.part) < complete_to {
-            let snapshot = (*current).clone();
-            let next = snapshot.with_changes(clock::now(), self.part, &changed, complete_to);
+        let is_new_era = current.era_of(self.part) < era;
+        if has_updates || is_new_era || current.revision_of(self.part) < complete_to {
+            let now = clock::now();
+            let snapshot = (*current).clone().with_era(now, self.part, era);
+            let next = snapshot.with_changes(now, self.part, &changed, complete_to);
             self.snapshot.send_replace(Rc::new(next));
         }
         has_updates
@@ -444,10 +503,28 @@
     pub state: Rc<watch::Sender<FeedState>>,
 }
 
+/// Returns the revision and the era, if any, that another agent's request for records states.
+#[must_use]
+pub fn relay_query(target: &str) -> (u64, Option<u64>) {
+    let query = target.split_once('?').map_or("", |(_, query)| query);
+    let number = |name: &str| {
+        let mut fields = query.split('&').filter_map(|field| field.split_once('='));
+        let found = fields.find(|(field, _)| *field == name);
+        found.and_then(|(_, text)| text.parse().ok())
+    };
+    (number("after").unwrap_or_default(), number("era"))
+}
+
 /// Answers another agent that reads records from this one: at once if there are changes since the revision
-/// `after`, else when there are or when the wait is over. Returns `None` if this agent has itself lost the
-/// store, or if its records are older than `after`.
-pub async fn answer_relay(after: u64, records: RelayedRecords) -> Option<Vec<u8>> {
+/// `after` of the store's era `era`, else when there are or when the wait is over. An agent of an earlier era gets all
+/// records. Returns `None` if this agent has itself lost the store, or if its records are older than `after`.
+///
+/// Agents of earlier versions state no era; they are taken to be of the era of this agent.
+pub async fn answer_relay(
+    after: u64,
+    era: Option<u64>,
+    records: RelayedRecords,
+) -> Option<Vec<u8>> {
     let received_at = clock::now();
     let RelayedRecords {
         part,
@@ -456,17 +533,26 @@
         snapshot,
         state,
     } = records;
+    let asked_era = era.unwrap_or_else(|| replica.borrow().era());
     let mut updates = snapshot.subscribe();
-    let wait = async {
-        while replica.borrow().complete_to() <= after && updates.changed().await.is_ok() {}
+    let has_news = || {
+        let replica = replica.borrow();
+        replica.era() != asked_era || replica.complete_to() > after
     };
+    let wait = async { while !has_news() && updates.changed().await.is_ok() {} };
     let _has_updates = timeout(Duration::from_millis(part.relay_wait_ms()), wait).await;
-    if state.borrow().lost.is_some() || replica.borrow().complete_to() < after {
+    let own_era = replica.borrow().era();
+    let is_whole = own_era > asked_era && era.is_some();
+    let is_behind = own_era != asked_era || replica.borrow().complete_to() < after;
+    if state.borrow().lost.is_some() || (is_behind && !is_whole) {
         return None;
     }
     let now = clock::now();
     let response = RelayResponse {
-        batch: replica.borrow().batch_after(after),
+        batch: replica
+            .borrow()
+            .batch_after(if is_whole { 0 } else { after }),
+        is_whole,
         waited_ms: now.since(received_at),
         proof_age_ms: now.since(proved_until.get()),
     };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -6,12 +6,14 @@
 //! The data that all agents must agree on is in the platform's store. Each agent watches it ([`feed`]) and
 //! keeps it in decoded form ([`snapshot`]). [`member`] maintains the agent's own record there, and
 //! [`range_manager`] the ranges of keys. [`support`] distinguishes owners of keys that are lost from those
-//! that are cut off from the store, and [`lost_owners`] lists the lost ones.
+//! that are cut off from the store, and [`lost_owners`] lists the lost ones. [`era`] follows whether the store has come
+//! back from an older copy.
 
 pub mod announcements;
 pub mod app;
 pub mod backend;
 pub mod dispatch;
+pub mod era;
 pub mod feed;
 pub mod forward;
 pub mod gate;
--- a/crates/edge/src/member.rs
+++ b/crates/edge/src/member.rs
@@ -7,6 +7,7 @@
 use jy_kernel::clock;
 use jy_lease::witness::WitnessSet;
 use jy_platform::store::CommitOutcome;
+use jy_platform::store::GrantedLease;
 use jy_platform::store::Result;
 use jy_platform::store::StoreClient;
 use jy_platform::store::StoreCommit;
@@ -61,6 +62,9 @@
 /// Returns the backend server's incarnation if it leaves.
 pub type LeavingFn = Rc<dyn Fn() -> Option<BackendIncarnation>>;
 
+/// Whether the store's tables name the backend server as the owner of all that it holds.
+pub type RestoredFn = Rc<dyn Fn(&FleetSnapshot) -> bool>;
+
 /// The agent's membership in the fleet: its lease, its record and its authority to grant keys.
 pub struct LocalMember {
     store: StoreClient,
@@ -69,19 +73,56 @@
     leaving: LeavingFn,
     support: Rc<LocalSupport>,
     node: Name,
+    restored: RestoredFn,
     changed: Notify,
-    lease: Cell<u64>,
+    lease: Cell<GrantedLease>,
     written: Cell<WrittenRecord>,
-    authority: Cell<Millis>,
+    authority: Cell<EraAuthority>,
 }
 
 /// The lease and the revision of the last write of the record.
 #[derive(Clone, Copy, Debug, Default)]
 struct WrittenRecord {
-    lease: u64,
+    lease: GrantedLease,
     revision: u64,
 }
 
+/// Until when renewals of the lease allow the agent to grant keys.
+#[derive(Clone, Copy, Debug, Default)]
+struct EraAuthority {
+    /// Era of the store in which the lease was last renewed.
+    era: u64,
+    /// End by the last renewal.
+    until: Millis,
+    /// End by the last renewal in an earlier era.
+    earlier_until: Millis,
+}
+
+impl EraAuthority {
+    /// Returns the authority after a renewal in `era` that allows granting until `until`.
+    const fn renewed(self, era: u64, until: Millis) -> Self {
+        let earlier_until = if era == self.era {
+            self.earlier_until
+        } else {
+            self.until
+        };
+        Self {
+            era,
+            until,
+            earlier_until,
+        }
+    }
+
+    /// Returns until when the agent may grant what no table of `era` confirms.
+    const fn before(self, era: u64) -> Millis {
+        if self.era == era {
+            self.earlier_until
+        } else {
+            self.until
+        }
+    }
+}
+
 impl LocalMember {
     /// Creates a membership without a lease or a record.
     #[must_use]
@@ -99,10 +140,11 @@
             leaving: Rc::new(|| None),
             support,
             node,
+            restored: Rc::new(|_| true),
             changed: Notify::new(),
-            lease: Cell::new(0),
+            lease: Cell::default(),
             written: Cell::default(),
-            authority: Cell::new(Millis::default()),
+            authority: Cell::default(),
         }
     }
 
@@ -114,10 +156,30 @@
         self
     }
 
+    /// Sets the function that tells whether the store's tables name the backend server as the owner of all that it
+    /// holds.
+    #[must_use]
+    pub fn with_restored(mut self, restored: RestoredFn) -> Self {
+        self.restored = restored;
+        self
+    }
+
     /// Returns until when the agent may grant keys; no other agent takes them before.
+    ///
+    /// After the store came back from an older copy, renewals count only once the store's tables name the owner again:
+    /// other agents may give out by those tables as soon as the era is settled for them.
     #[must_use]
     pub fn authority(&self) -> Millis {
-        self.support.authorized_until(self.authority.get())
+        let authority = self.authority.get();
+        let cap = {
+            let snapshot = self.snapshot.borrow();
+            if snapshot.is_era_settled(clock::now()) || (self.restored)(&snapshot) {
+                authority.until
+            } else {
+                authority.before(snapshot.era)
+            }
+        };
+        self.support.authorized_until(cap)
     }
 
     /// Requests an immediate check of the record, since its contents have changed.
@@ -155,11 +217,16 @@
         if self.snapshot.borrow().revision == 0 {
             return Ok(false);
         }
-        if self.lease.get() == 0 {
+        let lease = self.lease.get();
+        if lease.id == 0 {
             self.lease.set(self.store.grant_lease(LEASE_MS).await?);
-        } else if !self.store.renew_lease(self.lease.get()).await? {
-            log::info!("belief own lease={} ended", self.lease.get());
-            self.lease.set(0);
+        } else if !self.store.renew_lease(lease).await? {
+            log::info!("belief own lease={} era={} ended", lease.id, lease.era);
+            self.lease.set(GrantedLease::default());
+            return Ok(false);
+        }
+        if self.lease.get().era != self.snapshot.borrow().era {
+            // The record is written once the feed has read the store's records in the era of the lease.
             return Ok(false);
         }
         let status = self.record_status();
@@ -167,7 +234,8 @@
             return Ok(false);
         }
         if status != RecordStatus::Absent {
-            self.authority.set(sent_at.plus(AUTHORITY_MS));
+            let (era, until) = (self.lease.get().era, sent_at.plus(AUTHORITY_MS));
+            self.authority.set(self.authority.get().renewed(era, until));
             self.support.resolve_pending();
         }
         let set = self.support.replacement_set(clock::now());
@@ -205,8 +273,14 @@
     /// Returns the backend server's incarnation if it leaves and the store does not say so yet.
     fn unrecorded_leaving(&self, snapshot: &FleetSnapshot) -> Option<BackendIncarnation> {
         let recorded = snapshot.leaving.get(&self.node);
-        (self.leaving)().filter(|incarnation| {
-            recorded.is_none_or(|recorded| recorded.incarnation != *incarnation)
+        // A record that was lost with the store's last era is written again, also if the agent knows of the leaving only
+        // from that record.
+        let lost = recorded.filter(|recorded| recorded.revision == 0);
+        let lost = lost.map(|recorded| recorded.incarnation.clone());
+        (self.leaving)().or(lost).filter(|incarnation| {
+            recorded.is_none_or(|recorded| {
+                recorded.revision == 0 || recorded.incarnation != *incarnation
+            })
         })
     }
 
@@ -246,7 +320,7 @@
         let own = StoreWrite {
             key,
             value: text.into(),
-            lease: self.lease.get(),
+            lease: self.lease.get().id,
         };
         // The set is stored without a lease, since other agents need the witnesses of an owner whose record
         // has lapsed.
@@ -272,6 +346,13 @@
             self.support.propose(set);
         }
         let outcome = self.store.commit(&commit).await?;
+        if let CommitOutcome::Applied { era, .. } = outcome
+            && era != self.lease.get().era
+        {
+            // The lease and the expected revisions were those of an earlier era.
+            self.lease.set(GrantedLease::default());
+            return Ok(false);
+        }
         match (outcome, epoch) {
             (CommitOutcome::Applied { .. }, Some(epoch)) => self.support.confirm(epoch),
             (CommitOutcome::Conflict | CommitOutcome::NoLease, Some(epoch)) => {
@@ -280,13 +361,13 @@
             (_, None) => {}
         }
         match outcome {
-            CommitOutcome::Applied { revision } => {
+            CommitOutcome::Applied { revision, .. } => {
                 log::info!("belief own record written revision={revision} witnesses={epoch:?}");
                 let lease = self.lease.get();
                 self.written.set(WrittenRecord { lease, revision });
             }
             CommitOutcome::Conflict => log::debug!("own record not written: conflicting write"),
-            CommitOutcome::NoLease => self.lease.set(0),
+            CommitOutcome::NoLease => self.lease.set(GrantedLease::default()),
         }
         Ok(false)
     }
--- a/crates/edge/src/range_manager.rs
+++ b/crates/edge/src/range_manager.rs
@@ -357,11 +357,14 @@
                 .collect::<Vec<_>>()
         );
         match outcome {
-            CommitOutcome::Applied { revision } => self.parts.feed.apply_written(Record {
-                key,
-                revision,
-                value: Some(text),
-            }),
+            CommitOutcome::Applied { revision, era } => {
+                let record = Record {
+                    key,
+                    revision,
+                    value: Some(text),
+                };
+                self.parts.feed.apply_written(record, era);
+            }
             CommitOutcome::Conflict | CommitOutcome::NoLease => {
                 self.last_balanced.set(Millis::default());
                 self.parts.feed.refresh(&key).await?;
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -1,6 +1,7 @@
 //! The agent's snapshot of the fleet: the store's records, decoded.
 //!
-//! Each batch of records replaces the whole snapshot by a newer one, never by an older one.
+//! Each batch of records replaces the whole snapshot by a newer one, never by an older one. Revisions are compared only
+//! within an era of the store.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -19,6 +20,7 @@
 use jy_types::routing::RouteTable;
 use jy_types::time::Millis;
 
+use crate::era::SETTLE_MS;
 use crate::feed::FeedPart;
 
 /// Prefix of all records that agents write.
@@ -80,7 +82,7 @@
 pub struct LeavingRecord {
     /// The incarnation.
     pub incarnation: BackendIncarnation,
-    /// The record's revision in the store.
+    /// The record's revision in the store, or zero if it is known only from an earlier era.
     pub revision: u64,
 }
 
@@ -105,6 +107,15 @@
     pub witnesses: BTreeMap<Name, VersionedWitnesses>,
     /// Backend servers that leave or have left, by the name of their instance.
     pub leaving: BTreeMap<Name, LeavingRecord>,
+    /// Era of the store in which the records of agents were read.
+    pub era: u64,
+    /// Era of the store in which the records of operators were read.
+    pub operator_era: u64,
+    /// Until when nothing of other agents is taken, since the store has come back from an older copy; zero if this
+    /// agent has not seen that.
+    pub settled_at: Millis,
+    /// The last complete key ranges of earlier eras, by service.
+    pub earlier_ranges: BTreeMap<Name, Rc<RangeTable>>,
 }
 
 /// Returns the key of an agent's record.
@@ -141,6 +152,101 @@
         }
     }
 
+    /// Returns the era of the store in which the records of a part were read.
+    #[must_use]
+    pub const fn era_of(&self, part: FeedPart) -> u64 {
+        match part {
+            FeedPart::Operator => self.operator_era,
+            FeedPart::Fleet => self.era,
+        }
+    }
+
+    /// Returns until when claims are held back, because the store has come back from an older copy: what other agents
+    /// hold by records that were lost with it has ended by then. Zero if nothing is held back.
+    #[must_use]
+    pub const fn era_settled_at(&self) -> Millis {
+        self.settled_at
+    }
+
+    /// Whether agents may take what belonged to others in the era before.
+    #[must_use]
+    pub fn is_era_settled(&self, now: Millis) -> bool {
+        now >= self.settled_at
+    }
+
+    /// Returns the key ranges of a service; those of an earlier era if the store has lost the table.
+    #[must_use]
+    pub fn table(&self, service: &str) -> Option<&RangeTable> {
+        let table = self.ranges.get(service).map(|versioned| &versioned.table);
+        table
+            .or_else(|| self.earlier_ranges.get(service))
+            .map(|table| &**table)
+    }
+
+    /// Prepares the snapshot for the list of one part of the records in a later era of the store, which names every
+    /// record that exists and every record that does not exist any more.
+    ///
+    /// The configuration stays in force, and so do leavings of backend servers that the list lacks.
+    #[must_use]
+    pub fn with_era(mut self, now: Millis, part: FeedPart, era: u64) -> Self {
+        let newest = self.era.max(self.operator_era);
+        let has_read_earlier = self.revision > 0 || self.operator_revision > 0;
+        if era > newest && has_read_earlier {
+            self.hold_back(now, era);
+        }
+        match part {
+            FeedPart::Operator if era > self.operator_era => {
+                self.operator_era = era;
+                self.operator_revision = 0;
+            }
+            FeedPart::Fleet if era > self.era => {
+                self.era = era;
+                self.revision = 0;
+                self.listed_at = now;
+                self.forget_revisions();
+            }
+            FeedPart::Operator | FeedPart::Fleet => {}
+        }
+        self
+    }
+
+    /// Holds back claims until everything that rests on records of earlier eras has ended.
+    fn hold_back(&mut self, now: Millis, era: u64) {
+        self.settled_at = now.plus(SETTLE_MS);
+        log::warn!(
+            "belief store came back from an older copy: era={era}; nothing of other agents is taken for {SETTLE_MS} ms"
+        );
+    }
+
+    /// Holds back claims if a table shows that the store came back from an older copy before this agent started.
+    fn check_table_era(&mut self, now: Millis, table: &RangeTable) {
+        let is_from_copy = table.era() < self.era || table.is_incomplete();
+        if is_from_copy && self.settled_at == Millis::default() {
+            self.hold_back(now, self.era);
+        }
+    }
+
+    /// Sets the revisions of all records of agents to zero, and keeps the tables of key ranges as those of an earlier
+    /// era.
+    fn forget_revisions(&mut self) {
+        for observed in self.instances.values_mut() {
+            observed.revision = 0;
+            observed.lapse_revision = 0;
+        }
+        for leaving in self.leaving.values_mut() {
+            leaving.revision = 0;
+        }
+        for versioned in self.witnesses.values_mut() {
+            versioned.revision = 0;
+        }
+        for (service, versioned) in std::mem::take(&mut self.ranges) {
+            let is_known = self.earlier_ranges.contains_key(&service);
+            if !is_known || !versioned.table.is_incomplete() {
+                self.earlier_ranges.insert(service, versioned.table);
+            }
+        }
+    }
+
     /// Applies changes of one part of the records, which is then complete up to the revision `complete_to`.
     #[must_use]
     pub fn with_changes(
@@ -230,7 +336,7 @@
         } else if let Some(node) = record.key.strip_prefix(INSTANCE_PREFIX) {
             self.apply_instance(now, node, record);
         } else if let Some(service) = record.key.strip_prefix(RANGES_PREFIX) {
-            self.apply_ranges(service, record);
+            self.apply_ranges(now, service, record);
         } else if let Some(node) = record.key.strip_prefix(WITNESS_PREFIX) {
             self.apply_witnesses(node, record);
         } else if let Some(node) = record.key.strip_prefix(LEAVING_PREFIX) {
@@ -303,13 +409,14 @@
     }
 
     /// Applies a service's key ranges, or their deletion.
-    fn apply_ranges(&mut self, service: &str, record: &Record) {
+    fn apply_ranges(&mut self, now: Millis, service: &str, record: &Record) {
         let Some(value) = &record.value else {
             self.ranges.remove(service);
             return;
         };
         match RangeTable::parse(value) {
             Ok(table) => {
+                self.check_table_era(now, &table);
                 let versioned = VersionedRanges {
                     table: Rc::new(table),
                     revision: record.revision,
@@ -343,11 +450,20 @@
 
     /// Applies the record of a backend server that leaves, or its deletion.
     fn apply_leaving(&mut self, node: &str, record: &Record) {
+        let known = self.leaving.get(node);
+        let earlier = known.filter(|known| known.revision == 0);
         let Some(value) = &record.value else {
-            self.leaving.remove(node);
+            if earlier.is_none() {
+                self.leaving.remove(node);
+            }
             return;
         };
         match serde_json::from_str::<BackendIncarnation>(value) {
+            // The copy that the store came back from does not have the later leaving yet.
+            Ok(incarnation)
+                if earlier.is_some_and(|earlier| {
+                    earlier.incarnation.started_at > incarnation.started_at
+                }) => {}
             Ok(incarnation) => {
                 let revision = record.revision;
                 let leaving = LeavingRecord {
--- a/crates/edge/tests/test_feed.rs
+++ b/crates/edge/tests/test_feed.rs
@@ -9,6 +9,7 @@
 use actix_http::StatusCode;
 use bytes::Bytes;
 use googletest::prelude::*;
+use jy_edge::era::StoreEra;
 use jy_edge::feed::FeedPart;
 use jy_edge::feed::FeedState;
 use jy_edge::feed::RecordFeed;
@@ -19,6 +20,7 @@
 use jy_http::pool::ConnectionPool;
 use jy_http::server::HttpListener;
 use jy_http::server::ReadLimits;
+use jy_platform::store::StoreAnswer;
 use jy_platform::store::StoreClient;
 use jy_platform::store::StoreError;
 use jy_types::endpoint::InstanceRecord;
@@ -80,7 +82,7 @@
             let (status, body) = answer.ok_or_else(|| StoreError::NoAnswer {
                 cause: "cut".into(),
             })?;
-            Ok((status, Bytes::from(body)))
+            Ok(StoreAnswer::new(status, Bytes::from(body)))
         })
     }));
     actix_rt::System::new().block_on(async move {
@@ -103,6 +105,7 @@
             proved_until: Rc::default(),
             pool: ConnectionPool::new(),
             avoided: RefCell::default(),
+            era: Rc::new(StoreEra::new()),
         };
         actix_rt::spawn(async move { feed.run().await });
         let zone_out = updates.wait_for(|snapshot| snapshot.zones_out.contains(zone));
--- a/crates/edge/tests/test_snapshot.rs
+++ b/crates/edge/tests/test_snapshot.rs
@@ -107,6 +107,7 @@
     let batch = |records: Vec<Record>, complete_to| RecordBatch {
         records,
         complete_to,
+        era: 0,
     };
     let (replica, _) = RecordReplica::new().with_batch(batch(vec![record(1, true)], 1));
     let (replica, _) = replica.with_batch(batch(vec![record(2, false)], 2));
--- a/crates/feed/src/replica.rs
+++ b/crates/feed/src/replica.rs
@@ -1,4 +1,6 @@
 //! Replica of the store's records, complete up to one revision.
+//!
+//! All revisions of a replica belong to one era of the store. A list of a later era replaces all records.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -13,6 +15,7 @@
     records: BTreeMap<Name, Record>,
     by_revision: BTreeSet<(u64, Name)>,
     complete_to: u64,
+    era: u64,
 }
 
 impl RecordReplica {
@@ -28,6 +31,12 @@
         self.complete_to
     }
 
+    /// Returns the era of the store to which the replica's revisions belong.
+    #[must_use]
+    pub const fn era(&self) -> u64 {
+        self.era
+    }
+
     /// Returns the record of a key, also if it is deleted.
     #[must_use]
     pub fn get(&self, key: &str) -> Option<&Record> {
@@ -41,11 +50,14 @@
 
     /// Applies a batch and returns the replica and the records that changed.
     ///
-    /// A batch without newer records changes no record. The batch must contain all changes after a revision
-    /// that is no later than [`Self::complete_to`].
+    /// A batch without newer records changes no record, nor does a batch of another era. The batch must contain
+    /// all changes after a revision that is no later than [`Self::complete_to`].
     #[must_use]
     pub fn with_batch(mut self, batch: RecordBatch) -> (Self, Vec<Record>) {
         let mut changed = Vec::new();
+        if batch.era != self.era {
+            return (self, changed);
+        }
         for record in batch.records {
             if self.insert_if_newer(&record) {
                 changed.push(record);
@@ -61,8 +73,17 @@
     /// A record that is older than the list and missing from it was deleted by the list's revision at the
     /// latest, and is recorded as deleted at that revision. This includes records already known to be
     /// deleted, since they may have been written and deleted again.
+    ///
+    /// A list of a later era replaces all records, whatever their revisions; a list of an earlier era changes
+    /// none.
     #[must_use]
-    pub fn with_list(self, list: RecordBatch) -> (Self, Vec<Record>) {
+    pub fn with_list(mut self, list: RecordBatch) -> (Self, Vec<Record>) {
+        if list.era > self.era {
+            self.reset(list.era);
+        }
+        if list.era < self.era {
+            return (self, Vec::new());
+        }
         let listed: BTreeSet<&Name> = list.records.iter().map(|record| &record.key).collect();
         let is_deleted =
             |record: &&Record| record.revision < list.complete_to && !listed.contains(&record.key);
@@ -77,6 +98,20 @@
         self.with_batch(batch)
     }
 
+    /// Sets the revisions of all records to zero, so that each record of a list of `era` is newer.
+    fn reset(&mut self, era: u64) {
+        self.era = era;
+        self.complete_to = 0;
+        for record in self.records.values_mut() {
+            record.revision = 0;
+        }
+        self.by_revision = self
+            .records
+            .keys()
+            .map(|key| (0, Name::clone(key)))
+            .collect();
+    }
+
     /// Stores a record if it is newer than the one stored for its key. Returns whether it was stored.
     fn insert_if_newer(&mut self, record: &Record) -> bool {
         let old = self.records.get(&record.key).map(|old| old.revision);
@@ -104,6 +139,7 @@
         RecordBatch {
             records,
             complete_to: self.complete_to,
+            era: self.era,
         }
     }
 }
--- a/crates/ranges/src/table.rs
+++ b/crates/ranges/src/table.rs
@@ -1,6 +1,7 @@
 //! Key range table of a service.
 
 use jy_types::endpoint::BackendIncarnation;
+use jy_types::endpoint::GrantedRange;
 use jy_types::endpoint::ReleasedRange;
 use jy_types::name::Name;
 use serde::Deserialize;
@@ -12,6 +13,9 @@
 
 /// Number of keys of a service.
 pub const KEY_COUNT: u32 = 65_536;
+/// Fences of one era of the store, as a power of two. The first fence of an era exceeds all fences of the eras before
+/// it, including those whose record was lost.
+const ERA_FENCE_BITS: u32 = 32;
 
 /// Reason why a table cannot be read or written.
 #[derive(Debug, Error)]
@@ -75,6 +79,36 @@
     /// Fence of the next grant.
     next_fence: u64,
     ranges: Vec<KeyRange>,
+    /// Era of the store in which the table was written.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    era: u64,
+    /// Whether the era may not be settled: owners may still have to put the ranges that they hold into the table.
+    #[serde(default, skip_serializing_if = "is_false")]
+    incomplete: bool,
+}
+
+/// Whether a number is zero.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
+/// Whether a flag is false.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+const fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
+/// Returns the first fence of an era of the store.
+#[must_use]
+pub const fn first_fence(era: u64) -> u64 {
+    era.saturating_mul(1 << ERA_FENCE_BITS)
 }
 
 impl RangeTable {
@@ -107,6 +141,8 @@
         Some(Self {
             next_fence: 2,
             ranges,
+            era: 0,
+            incomplete: false,
         })
     }
 
@@ -147,6 +183,82 @@
         &self.ranges
     }
 
+    /// Returns the era of the store in which the table was written.
+    #[must_use]
+    pub const fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Whether owners may still have to put the ranges that they hold into the table, after the store came back from
+    /// an older copy.
+    #[must_use]
+    pub const fn is_incomplete(&self) -> bool {
+        self.incomplete
+    }
+
+    /// Marks the table as written in an era of the store, or in a later one if it is already. Its next fence is above
+    /// all that earlier eras gave out.
+    #[must_use]
+    pub fn with_era(mut self, era: u64) -> Self {
+        self.era = self.era.max(era);
+        self.next_fence = self.next_fence.max(first_fence(self.era));
+        self
+    }
+
+    /// Sets whether owners may still have to put the ranges that they hold into the table.
+    #[must_use]
+    pub const fn with_incomplete(mut self, is_incomplete: bool) -> Self {
+        self.incomplete = is_incomplete;
+        self
+    }
+
+    /// Gives the matching ranges a new fence and cancels their moves.
+    #[must_use]
+    pub fn with_new_fences(mut self, matches: impl Fn(&KeyRange) -> bool) -> Self {
+        let fence = self.next_fence;
+        for range in &mut self.ranges {
+            if matches(range) {
+                range.fence = fence;
+                range.next_owner = None;
+            }
+        }
+        self.next_fence = fence + 1;
+        self.merged()
+    }
+
+    /// Assigns ranges that `owner` holds to it again, under the fences of its grants, and cancels their moves. The
+    /// store has lost the writes by which the owner got them.
+    #[must_use]
+    pub fn with_held(mut self, owner: &RangeOwner, held: &[GrantedRange]) -> Self {
+        for grant in held {
+            self.split(grant.first);
+            if grant.last < u16::MAX {
+                self.split(grant.last + 1);
+            }
+            for range in &mut self.ranges {
+                if range.first >= grant.first && range.last <= grant.last {
+                    range.owner = owner.clone();
+                    range.fence = grant.fence;
+                    range.handover = Name::clone(&grant.handover);
+                    range.next_owner = None;
+                }
+            }
+        }
+        self.merged()
+    }
+
+    /// Whether the table names `owner` as the owner of all keys of `held`, under the fences of its grants.
+    #[must_use]
+    pub fn lists(&self, owner: &RangeOwner, held: &[GrantedRange]) -> bool {
+        held.iter().all(|grant| {
+            let mut overlapping = self
+                .ranges
+                .iter()
+                .filter(|range| range.first <= grant.last && grant.first <= range.last);
+            overlapping.all(|range| range.owner == *owner && range.fence == grant.fence)
+        })
+    }
+
     /// Returns the range that contains a key.
     #[must_use]
     pub fn find(&self, key: u16) -> Option<&KeyRange> {
--- a/crates/types/src/record.rs
+++ b/crates/types/src/record.rs
@@ -33,6 +33,19 @@
     pub records: Vec<Record>,
     /// The replica is complete up to this revision once the records are applied.
     pub complete_to: u64,
+    /// Era of the store in which the revisions were issued. Revisions of different eras can't be compared.
+    #[serde(default, skip_serializing_if = "is_first_era")]
+    pub era: u64,
+}
+
+/// Whether an era is that of a store that has never come back from an older copy. Such an era is not sent, as
+/// agents of earlier versions don't know of eras.
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes fields by reference"
+)]
+const fn is_first_era(era: &u64) -> bool {
+    *era == 0
 }
 
 /// The parsed key of a replicated record.
