edge: no take-over before the store's new era is settled

After the store came back from an older copy, the record that names an owner's witnesses may be an old one: the witnesses that it names deny the owner while those of the lost record support it, and two agents grant its keys. Denials are kept with the era of the revision that they rest on.

test_support and test_lost_owners pass, with one new test each.

--- a/crates/edge/src/lost_owners.rs
+++ b/crates/edge/src/lost_owners.rs
@@ -32,8 +32,8 @@
 /// The results of asking the witnesses of absent owners for denials.
 #[derive(Debug, Default)]
 pub struct LostOwners {
-    /// Owners that were denied, with the revision of the record that names their witnesses.
-    denied: RefCell<BTreeMap<Name, u64>>,
+    /// Owners that were denied, with the era and the revision of the record that names their witnesses.
+    denied: RefCell<BTreeMap<Name, (u64, u64)>>,
     /// When the witnesses of owners that were not denied are asked again.
     retry_at: RefCell<BTreeMap<Name, Millis>>,
 }
@@ -58,7 +58,8 @@
         for (node, versioned) in self.due_denials(now, snapshot, service, wait_ms) {
             match support.deny(&node, &versioned.set).await {
                 Ok(()) => {
-                    self.denied.borrow_mut().insert(node, versioned.revision);
+                    let read = (snapshot.era, versioned.revision);
+                    self.denied.borrow_mut().insert(node, read);
                 }
                 Err(retry_ms) => {
                     let retry_at = clock::now().plus(retry_ms);
@@ -79,6 +80,9 @@
         let Some(versioned) = snapshot.ranges.get(service) else {
             return Vec::new();
         };
+        if !snapshot.is_era_settled(now) {
+            return Vec::new();
+        }
         let (retry_at, denied) = (self.retry_at.borrow(), self.denied.borrow());
         let is_due = |node: &Name| {
             let since = snapshot.absent_since(node);
@@ -90,14 +94,15 @@
             .filter(|node| is_due(node))
             .filter_map(|node| Some((Name::clone(node), snapshot.witnesses.get(node)?.clone())))
             .filter(|(node, versioned)| {
-                versioned.set.is_deniable() && denied.get(node) != Some(&versioned.revision)
+                let read = (snapshot.era, versioned.revision);
+                versioned.set.is_deniable() && denied.get(node) != Some(&read)
             })
             .collect()
     }
 
     /// Returns the owners whose keys may be taken. Their records are absent, and either their witnesses have
     /// denied them, or the absence has lasted for the sum of [`AUTHORITY_MS`], [`AUTHORITY_MARGIN_MS`] and
-    /// `wait_ms`, after which they can't grant keys even with support.
+    /// `wait_ms`, after which they can't grant keys even with support. None while the store's era is not settled.
     #[must_use]
     pub fn list(
         &self,
@@ -106,13 +111,16 @@
         table: &RangeTable,
         wait_ms: u64,
     ) -> Vec<LostOwner> {
+        if !snapshot.is_era_settled(now) {
+            return Vec::new();
+        }
         let expiry_ms = AUTHORITY_MS + AUTHORITY_MARGIN_MS + wait_ms;
         let denied = self.denied.borrow();
         let lost = |node: &Name| {
             let since = snapshot.absent_since(node)?;
             let versioned = snapshot.witnesses.get(node);
-            let revision = versioned.map(|versioned| versioned.revision);
-            let is_denied = revision.is_some() && denied.get(node).copied() == revision;
+            let read = versioned.map(|versioned| (snapshot.era, versioned.revision));
+            let is_denied = read.is_some() && denied.get(node).copied() == read;
             let has_expired = now.since(since) >= expiry_ms;
             (is_denied || has_expired).then(|| LostOwner {
                 node: Name::clone(node),
--- a/crates/edge/src/support.rs
+++ b/crates/edge/src/support.rs
@@ -317,11 +317,17 @@
         }
     }
 
-    /// Denies an owner, unless a promise of support to it may still be in force.
+    /// Denies an owner, unless a promise of support to it may still be in force, or the store has come back from an
+    /// older copy: the recorded set may then not be the one that supports the owner.
     fn answer_denial(&self, support_request: &SupportRequest) -> Denial {
+        let (now, settled_at) = (clock::now(), self.snapshot.borrow().era_settled_at());
+        if now < settled_at {
+            let left_ms = settled_at.since(now);
+            return Denial::Supported { left_ms };
+        }
         let mut promises = self.promises.borrow_mut();
         let SupportRequest { owner, epoch, run } = support_request;
-        let denial = promises.deny(clock::now(), owner, *epoch, run);
+        let denial = promises.deny(now, owner, *epoch, run);
         log::info!("belief owner={owner} epoch={epoch} denial={denial:?}");
         denial
     }
--- a/crates/edge/tests/test_lost_owners.rs
+++ b/crates/edge/tests/test_lost_owners.rs
@@ -59,3 +59,26 @@
 fn list_owner_cut_off_for_12_s_keeps_keys() {
     expect_that!(lost_at(LISTED_AT.plus(12_000)), is_empty());
 }
+
+/// Guards against keys that are taken from an owner whose record and witnesses the store has lost by coming back from
+/// an older copy.
+#[gtest]
+fn list_unsettled_era_has_no_lost_owners() {
+    let owner = RangeOwner {
+        node: "n".into(),
+        incarnation: BackendIncarnation {
+            id: "i-1".into(),
+            started_at: 1,
+        },
+    };
+    let table = RangeTable::new(&[(owner, 1)]).expect("one owner");
+    let now = LISTED_AT.plus(AUTHORITY_MS * 2);
+    let snapshot = FleetSnapshot {
+        listed_at: LISTED_AT,
+        settled_at: now.plus(1),
+        ..FleetSnapshot::default()
+    };
+    let count = |now: Millis| LostOwners::new().list(now, &snapshot, &table, 0).len();
+    expect_that!(count(now), eq(0));
+    expect_that!(count(now.plus(1)), eq(1));
+}
--- a/crates/edge/tests/test_support.rs
+++ b/crates/edge/tests/test_support.rs
@@ -142,3 +142,24 @@
         expect_that!(owner.authorized_until(UNLIMITED), gt(clock::now()));
     });
 }
+
+/// Guards against a take-over that rests on a set of witnesses of the store's older copy, while the owner is supported
+/// by another set.
+#[gtest]
+fn answer_denial_waits_until_era_is_settled() {
+    let fleet = FleetSnapshot {
+        settled_at: clock::now().plus(60_000),
+        ..FleetSnapshot::default()
+    };
+    let snapshot: Rc<SnapshotSender> = Rc::new(watch::Sender::new(Rc::new(fleet)));
+    let witness = support(&"n-1".into(), &snapshot);
+    let answer = || {
+        let target = "/jy/deny?owner=n-0&epoch=1&run=run+of+n-1";
+        let response = witness.answer(&HttpRequest::new(Method::GET, target));
+        let body = response.expect("a witness answers").body;
+        String::from_utf8_lossy(&body).into_owned()
+    };
+    expect_that!(answer(), starts_with("{\"supported\""));
+    snapshot.send_replace(Rc::default());
+    expect_that!(answer(), eq("\"denied\""));
+}
