ranges, edge: owners write their key ranges again in a new era of the store

The table that comes back with an older copy may name an earlier owner of keys, and its counter gives out fences again. Until the era is settled an owner grants only what this run of its agent granted and its backend server still holds, whatever the table says, and the table changes only by owners that put back what they hold; a table that is gone is written again from the one that the agent remembers. Such a table is marked as incomplete, by which an agent that starts later holds back too. The fences of an era start at era x 2^32. After settling, ranges that their owners don't hold need a fence of the era, and the marks are removed.

In era 0 the table has no new fields.

--- a/crates/edge/src/announcements.rs
+++ b/crates/edge/src/announcements.rs
@@ -78,9 +78,10 @@
     async fn apply(&self, announced: Announcement, reply_by: Millis) -> AnnounceOutcome {
         let address = self.gate.address.get();
         let snapshot = Rc::clone(&self.snapshot.borrow());
+        self.backend
+            .set_era(snapshot.era, snapshot.era_settled_at());
         if !self.keeps_keys_while_leaving(&announced, &snapshot) {
-            let ranges = snapshot.ranges.get(&announced.service);
-            let table = ranges.map(|ranges| &*ranges.table);
+            let table = snapshot.table(&announced.service);
             let authority = self.member.authority();
             let now = clock::now();
             return self
@@ -183,11 +184,13 @@
 
     /// Whether a leaving backend server has keys that are not marked for their next owners.
     fn keeps_keys_while_leaving(&self, announced: &Announcement, snapshot: &FleetSnapshot) -> bool {
+        // Keys are not moved before the era is settled, so that waiting is of no use.
         let ranges = snapshot.ranges.get(&announced.service);
-        ranges.is_some_and(|ranges| {
-            self.backend
-                .keeps_keys_while_leaving(announced, &ranges.table)
-        })
+        snapshot.is_era_settled(clock::now())
+            && ranges.is_some_and(|ranges| {
+                self.backend
+                    .keeps_keys_while_leaving(announced, &ranges.table)
+            })
     }
 
     /// Waits until the keys of a leaving backend server are marked for their next owners, until `reply_by` at most,
@@ -208,16 +211,13 @@
             );
         }
         let snapshot = Rc::clone(&self.snapshot.borrow());
-        let ranges = snapshot.ranges.get(&announced.service)?;
+        self.backend
+            .set_era(snapshot.era, snapshot.era_settled_at());
+        let table = snapshot.table(&announced.service)?;
         let authority = self.member.authority();
         let sequence = announced.sequence;
-        self.backend.grant_later(
-            clock::now(),
-            incarnation,
-            sequence,
-            &ranges.table,
-            authority,
-        )
+        self.backend
+            .grant_later(clock::now(), incarnation, sequence, table, authority)
     }
 }
 
--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -206,7 +206,13 @@
             record,
             Rc::clone(&support),
         );
-        let member = Rc::new(member.with_leaving(Rc::new(move || leaving_backend.leaving())));
+        let holding_backend = Rc::clone(&backend);
+        let member = member
+            .with_leaving(Rc::new(move || leaving_backend.leaving()))
+            .with_restored(Rc::new(move |snapshot| {
+                holding_backend.is_restored(clock::now(), snapshot)
+            }));
+        let member = Rc::new(member);
         let feed = Rc::new(watch::Sender::new(FeedState::default()));
         let relay = |part| RelayedRecords {
             part,
@@ -258,6 +264,7 @@
             gate: Rc::clone(&self.gate),
             gateway: Rc::clone(&self.gateway),
             feed,
+            era: Rc::clone(&self.era),
             longest_grant_ms: self.settings.bounds.longest_grant_ms,
             announce_interval_ms: self.settings.bounds.announce_every_ms,
         });
--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -10,6 +10,7 @@
 use jy_ranges::table::KeyRange;
 use jy_ranges::table::RangeOwner;
 use jy_ranges::table::RangeTable;
+use jy_ranges::table::first_fence;
 use jy_types::endpoint::Announcement;
 use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::BackendPhase;
@@ -26,6 +27,7 @@
 use crate::sent_requests::SentRequests;
 use crate::sent_requests::SentTicket;
 
+mod held;
 mod state;
 
 pub use state::BackendState;
@@ -69,6 +71,10 @@
     drain_ms: u64,
     /// The incarnation that began to leave according to the store.
     recorded_leaving: RefCell<Option<BackendIncarnation>>,
+    /// Era of the store in which the tables were read.
+    era: Cell<u64>,
+    /// Until when only what the backend server holds is granted, since the store has come back from an older copy.
+    settled_at: Cell<Millis>,
     is_closed: Cell<bool>,
     changes: watch::Sender<u64>,
 }
@@ -90,6 +96,8 @@
             announce_interval_ms,
             drain_ms: 0,
             recorded_leaving: RefCell::default(),
+            era: Cell::new(0),
+            settled_at: Cell::default(),
             is_closed: Cell::new(false),
             changes: watch::Sender::new(0),
         }
@@ -239,6 +247,7 @@
             leaving_since: None,
             disowned: false,
             granted: None,
+            last_reply: Vec::new(),
             held_until: now.plus(self.longest_grant_ms),
             released: Vec::new(),
             sent,
@@ -300,8 +309,9 @@
         if state.sent.runs_elsewhere(&owner.incarnation) {
             return None;
         }
-        let reply = self.grant(now, table, &owner, authority)?;
+        let reply = self.grant(now, state, table, &owner, authority)?;
         state.granted = Some(reply.ranges.iter().map(to_held_range).collect());
+        state.last_reply.clone_from(&reply.ranges);
         // A range that is granted again will be released again, with another handover text.
         let is_granted_again = |released: &ReleasedRange| {
             let mut ranges = reply.ranges.iter();
@@ -317,9 +327,14 @@
 
     /// Grants the ranges of an owner that are not moving to another. Returns `None` if too little authority
     /// is left for a grant of one announcement interval.
+    ///
+    /// Until the store's era is settled, the table may be an old one, so that only what the backend server holds is
+    /// granted. Later, a range that it does not hold needs a fence of the era, since fences of the era before may
+    /// have been given out without a trace in the store.
     fn grant(
         &self,
         now: Millis,
+        state: &BackendState,
         table: &RangeTable,
         owner: &RangeOwner,
         authority: Millis,
@@ -330,7 +345,15 @@
         if grant_ms < self.announce_interval_ms {
             return None;
         }
-        let is_kept = |range: &&KeyRange| range.next_owner.is_none();
+        if now < self.settled_at.get() {
+            let ranges = state.held_grants(now);
+            return (!ranges.is_empty()).then_some(GrantReply { ranges, grant_ms });
+        }
+        let oldest_fence = first_fence(self.era.get());
+        let is_kept = |range: &&KeyRange| {
+            range.next_owner.is_none()
+                && (range.fence >= oldest_fence || state.holds_range(now, range))
+        };
         let to_granted = |range: &KeyRange| GrantedRange {
             first: range.first,
             last: range.last,
--- a/crates/edge/src/backend/state.rs
+++ b/crates/edge/src/backend/state.rs
@@ -3,6 +3,7 @@
 use jy_ranges::table::KeyRange;
 use jy_types::endpoint::Announcement;
 use jy_types::endpoint::BackendPhase;
+use jy_types::endpoint::GrantedRange;
 use jy_types::endpoint::HeldRange;
 use jy_types::endpoint::ReleasedRange;
 use jy_types::time::Millis;
@@ -30,6 +31,8 @@
     pub disowned: bool,
     /// The ranges of the newest grant by this run of the agent, or `None` before the first.
     pub granted: Option<Vec<HeldRange>>,
+    /// The ranges of that grant with what their last holders handed over.
+    pub last_reply: Vec<GrantedRange>,
     /// The latest time until which it may hold them.
     pub held_until: Millis,
     /// Ranges that it has released, each with the handover text for the next holder.
@@ -73,6 +76,28 @@
         }
     }
 
+    /// Returns what this run of the agent granted to it and it still holds.
+    pub(super) fn held_grants(&self, now: Millis) -> Vec<GrantedRange> {
+        let is_released = |grant: &GrantedRange| {
+            let mut released = self.released.iter();
+            released.any(|range| range.first <= grant.last && grant.first <= range.last)
+        };
+        if now >= self.held_until || self.has_exited(now) {
+            return Vec::new();
+        }
+        let held = self.last_reply.iter().filter(|grant| !is_released(grant));
+        held.cloned().collect()
+    }
+
+    /// Whether it is considered to hold a range under the range's fence, like [`Self::holds`].
+    pub(super) fn holds_range(&self, now: Millis, range: &KeyRange) -> bool {
+        let covers = |held: &HeldRange| {
+            held.first <= range.first && range.last <= held.last && held.fence == range.fence
+        };
+        let held = self.granted.as_ref().unwrap_or(&self.announced.held);
+        now < self.held_until && held.iter().any(covers)
+    }
+
     /// Whether its process has ended. One that exits refuses connections while it finishes its requests: after
     /// it has begun to leave, a refused connection says nothing about them, and before that it may have begun to
     /// leave without the agent's knowledge.
--- a/crates/edge/src/gateway/selection.rs
+++ b/crates/edge/src/gateway/selection.rs
@@ -71,8 +71,8 @@
     /// Returns the agent whose backend server owns a request's key, if it may be asked.
     fn key_owner(&self, call: &CallState) -> Option<Name> {
         let snapshot = self.snapshot.borrow();
-        let ranges = snapshot.ranges.get(&call.job.service)?;
-        let owner = &ranges.table.find(call.job.key?)?.owner;
+        let table = snapshot.table(&call.job.service)?;
+        let owner = &table.find(call.job.key?)?.owner;
         let observed = snapshot.instances.get(&owner.node)?;
         // The owner is asked even if its record has lapsed, because no other backend server has the key while
         // the table names this owner. An agent that is shutting down serves its keys until it stops.
@@ -132,7 +132,6 @@
 
 /// Returns the owner and the fence of a request's key.
 fn owner_of(snapshot: &FleetSnapshot, call: &CallState) -> Option<(RangeOwner, u64)> {
-    let ranges = snapshot.ranges.get(&call.job.service)?;
-    let range = ranges.table.find(call.job.key?)?;
+    let range = snapshot.table(&call.job.service)?.find(call.job.key?)?;
     Some((range.owner.clone(), range.fence))
 }
--- a/crates/edge/src/range_manager.rs
+++ b/crates/edge/src/range_manager.rs
@@ -31,6 +31,7 @@
 use tokio::time::timeout;
 
 use crate::backend::SharedBackend;
+use crate::era::StoreEra;
 use crate::feed::RecordFeed;
 use crate::feed::SnapshotSender;
 use crate::gate::LocalGate;
@@ -44,6 +45,7 @@
 use crate::support::LocalSupport;
 
 mod changes;
+mod restore;
 
 /// Longest time between two checks of the table, in milliseconds: loads change within a second.
 const CHECK_INTERVAL_MS: u64 = 250;
@@ -85,6 +87,8 @@
     pub gateway: Rc<CallerGateway>,
     /// The feed of the fleet's records.
     pub feed: Rc<RecordFeed>,
+    /// The newest era that the store has stated to this agent.
+    pub era: Rc<StoreEra>,
     /// Longest time for which keys are granted to a backend server, in milliseconds.
     pub longest_grant_ms: u64,
     /// Time between two announcements of a backend server, in milliseconds.
@@ -221,17 +225,26 @@
     /// Returns the change of a service's table that is due, with the revision that it expects.
     fn due_change(&self, snapshot: &FleetSnapshot, service: &Name) -> Option<TableChange> {
         let now = clock::now();
+        if !snapshot.is_era_settled(now) {
+            return self.restore_held(now, snapshot, service);
+        }
         let receivers = self.receivers(now, snapshot, service);
         let Some(versioned) = snapshot.ranges.get(service) else {
-            return self.first_table(now, &receivers);
+            return self.first_table(now, &receivers, snapshot.era);
         };
+        let settled = (snapshot.era > 0).then(|| {
+            let table = RangeTable::clone(&versioned.table);
+            table.with_era(snapshot.era).with_incomplete(false)
+        });
         let context = CheckContext {
             now,
             snapshot,
-            table: &versioned.table,
+            table: settled.as_ref().unwrap_or(&versioned.table),
             receivers: &receivers,
         };
-        let change = self.select_change(&context)?;
+        let change = self
+            .settle_era(&context, &versioned.table)
+            .or_else(|| self.select_change(&context))?;
         Some(TableChange {
             expected_revision: versioned.revision,
             ..change
@@ -303,7 +316,12 @@
     }
 
     /// Creates the first table of a service, once its backend servers have had time to announce themselves.
-    fn first_table(&self, now: Millis, receivers: &[RangeReceiver]) -> Option<TableChange> {
+    fn first_table(
+        &self,
+        now: Millis,
+        receivers: &[RangeReceiver],
+        era: u64,
+    ) -> Option<TableChange> {
         let uptime_ms = now.since(self.started);
         let mut settling = self.settling.get();
         let quiet_ms = (self.parts.announce_interval_ms / 2).max(MIN_QUIET_MS);
@@ -321,7 +339,13 @@
             .iter()
             .map(|receiver| (receiver.owner.clone(), receiver.weight))
             .collect();
-        Some(TableChange::new("first", RangeTable::new(&weights)?))
+        let table = RangeTable::new(&weights)?;
+        let table = if era == 0 {
+            table
+        } else {
+            table.with_era(era).with_new_fences(|_| true)
+        };
+        Some(TableChange::new("first", table))
     }
 
     /// How long this agent waits for agents of lower rank to make a change, in milliseconds.
@@ -338,6 +362,11 @@
     /// Returns an error if the store can't be written, or can't be read after a conflict.
     async fn write(&self, service: &Name, change: TableChange) -> Result<()> {
         let expected_revision = change.expected_revision;
+        let era = self.parts.snapshot.borrow().era;
+        if !self.parts.era.may_commit(clock::now(), era) {
+            log::debug!("key ranges not written: the store may have come back from an older copy");
+            return Ok(());
+        }
         let key = ranges_key(service);
         let (text, commit) = match encode_change(&key, &change) {
             Ok(encoded) => encoded,
--- a/crates/edge/tests/test_backend.rs
+++ b/crates/edge/tests/test_backend.rs
@@ -509,3 +509,70 @@
         eq(false)
     );
 }
+
+/// Announces the incarnation that started first and returns the granted fences by first key.
+fn granted_fences(
+    backend: &LocalBackend,
+    now: u64,
+    sequence: u64,
+    table: &RangeTable,
+    authority: u64,
+) -> Vec<(u16, u64)> {
+    let (now, authority) = (Millis(now), Millis(authority));
+    let announced = announcement(1, sequence);
+    let outcome = backend.announce(now, address(), announced, Some(table), authority);
+    let AnnounceOutcome::Accepted(Some(reply)) = outcome else {
+        return Vec::new();
+    };
+    let ranges = reply.ranges.iter();
+    ranges.map(|range| (range.first, range.fence)).collect()
+}
+
+/// Guards against keys with two owners: the store came back from an older copy, whose table names this owner for keys
+/// that another one holds by a lost table, and the other way round.
+#[gtest]
+fn announce_unsettled_era_extends_holds_only() {
+    let mut other = owner(1);
+    other.node = "m".into();
+    let recent = RangeTable::new(&[(owner(1), 1), (other.clone(), 1)]).expect("two owners");
+    let copy = RangeTable::new(&[(other, 1)]).expect("one owner");
+    let own = RangeTable::new(&[(owner(1), 1)]).expect("one owner");
+    let backend = unannounced_backend();
+    expect_that!(
+        granted_fences(&backend, 1_000, 1, &recent, 60_000),
+        elements_are![eq(&(0, 1))]
+    );
+    backend.set_era(1, Millis(22_000));
+    let held = backend.held_grants(Millis(1_500));
+    expect_that!(copy.lists(&owner(1), &held), eq(false));
+    expect_that!(
+        granted_fences(&backend, 2_000, 2, &copy, 60_000),
+        elements_are![eq(&(0, 1))]
+    );
+    // The hold runs out, so that the keys wait until the era is settled and the table has a fence of the era.
+    expect_that!(
+        granted_fences(&backend, 12_000, 3, &own, 60_000),
+        is_empty()
+    );
+    expect_that!(
+        granted_fences(&backend, 23_000, 4, &own, 60_000),
+        is_empty()
+    );
+    let fenced = own.with_era(1).with_new_fences(|_| true);
+    expect_that!(
+        granted_fences(&backend, 24_000, 5, &fenced, 60_000),
+        elements_are![eq(&(0, 1 << 32))]
+    );
+}
+
+/// Guards against a new run of an agent that grants by the table of an older copy.
+#[gtest]
+fn announce_unsettled_era_new_run_grants_nothing() {
+    let backend = unannounced_backend();
+    backend.set_era(1, Millis(22_000));
+    let table = RangeTable::new(&[(owner(1), 1)]).expect("one owner");
+    expect_that!(
+        granted_fences(&backend, 1_000, 1, &table, 60_000),
+        is_empty()
+    );
+}
--- a/crates/ranges/tests/test_table.rs
+++ b/crates/ranges/tests/test_table.rs
@@ -3,7 +3,9 @@
 use googletest::prelude::*;
 use jy_ranges::table::RangeOwner;
 use jy_ranges::table::RangeTable;
+use jy_ranges::table::first_fence;
 use jy_types::endpoint::BackendIncarnation;
+use jy_types::endpoint::GrantedRange;
 use jy_types::endpoint::ReleasedRange;
 
 /// Creates an owner on the instance `name`.
@@ -106,3 +108,51 @@
     let error = RangeTable::parse(&gap).expect_err("a key has no owner");
     expect_that!(error.to_string(), contains_substring("key 32768"));
 }
+
+/// Returns a grant.
+fn grant(first: u16, last: u16, fence: u64) -> GrantedRange {
+    GrantedRange {
+        first,
+        last,
+        fence,
+        handover: "".into(),
+    }
+}
+
+/// Guards against a table of an older copy that takes keys from their holder, and against a fence that the lost part
+/// of the era before gave out already.
+#[gtest]
+fn with_held_puts_ranges_back() {
+    let held = [grant(100, 199, 9)];
+    let table = halves();
+    expect_that!(table.lists(&owner("b", 1), &held), eq(false));
+    let table = table.with_era(1).with_held(&owner("b", 1), &held);
+    expect_that!(table.lists(&owner("b", 1), &held), eq(true));
+    expect_that!(
+        fences(&table),
+        elements_are![eq(&(0, 1)), eq(&(100, 9)), eq(&(200, 1)), eq(&(32_768, 1))]
+    );
+    let table = table.with_new_fences(|range| range.owner == owner("a", 1));
+    expect_that!(
+        fences(&table),
+        elements_are![
+            eq(&(0, first_fence(1))),
+            eq(&(100, 9)),
+            eq(&(200, first_fence(1))),
+            eq(&(32_768, 1))
+        ]
+    );
+    let text = table.to_text().expect("a table can be encoded");
+    expect_that!(RangeTable::parse(&text).ok(), some(eq(&table)));
+}
+
+/// Guards against records of another form in deployments whose store states no era.
+#[gtest]
+fn to_text_first_era_is_unchanged() {
+    let text = halves()
+        .with_era(0)
+        .to_text()
+        .expect("a table can be encoded");
+    expect_that!(&*text, not(contains_substring("era")));
+    expect_that!(&*text, not(contains_substring("incomplete")));
+}
