--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -9,7 +9,7 @@
 use jy_soak::run::run;
 
 /// Usage text, printed above the list of options.
-const USAGE: &str = "usage: jysoak [--seed N] [--count N] [--seconds N] [--keep FOLDER]
+const USAGE: &str = "usage: jysoak [--seed N] [--count N] [--seconds N] [--restores N] [--keep FOLDER]
 
 Runs nine jyedge processes against stand-ins for the platform and injects the faults drawn from each seed.
 The jyedge executable must be in the same folder as jysoak. Prints a line for each seed. The settings and
@@ -45,6 +45,12 @@
         "seconds during which faults occur (default: 12)",
         "N",
     );
+    options.optopt(
+        "",
+        "restores",
+        "restores of the store from an older copy per run (default: 0)",
+        "N",
+    );
     options.optopt(
         "",
         "keep",
@@ -71,6 +77,7 @@
         number("count", 1)?,
         number("seconds", 12)?,
     );
+    let restores = usize::try_from(number("restores", 0)?)?;
     let program =
         std::env::current_exe().context("could not determine the path of this program")?;
     let agent = program.with_file_name("jyedge");
@@ -80,7 +87,7 @@
     let mut no_violations = true;
     for seed in seed..seed + count {
         let folder = keep.join(format!("jysoak-{}-{seed}", std::process::id()));
-        let running = run(&agent, &folder, seed, seconds * 1_000);
+        let running = run(&agent, &folder, seed, seconds * 1_000, restores);
         let report = actix_rt::System::new().block_on(running)?;
         println!(
             "seed {seed}: served {}, failed {}, recovered in {} ms, {} broken",
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -34,6 +34,9 @@
     StoreLost,
     /// The store compacts its history.
     StoreCompact,
+    /// The store refuses calls, then comes back from a copy of this age in milliseconds, with or without the copy's
+    /// leases.
+    StoreRestore(u64, bool),
     /// Crashes a backend server and starts it again as a new incarnation.
     CrashBackend(usize),
     /// Drains a backend server, stops it and starts it again as a new incarnation.
@@ -76,6 +79,26 @@
     events
 }
 
+/// Draws `count` restores of the store over `length_ms`, in order of their start. They are drawn apart from
+/// the other faults, so that those of a seed stay the same.
+#[must_use]
+pub fn draw_restores(seed: u64, length_ms: u64, count: usize) -> Vec<FaultEvent> {
+    let mut rng = StdRng::seed_from_u64(!seed);
+    let mut events: Vec<FaultEvent> = (0..count)
+        .map(|_| {
+            let at_ms = rng.random_range(0..length_ms);
+            let duration_ms = rng.random_range(200..1_500);
+            FaultEvent {
+                at_ms,
+                until_ms: (at_ms + duration_ms).min(length_ms),
+                kind: FaultKind::StoreRestore(rng.random_range(500..8_000), rng.random()),
+            }
+        })
+        .collect();
+    events.sort_by_key(|event| event.at_ms);
+    events
+}
+
 /// Draws one fault. The 16 numbers are equally likely: kinds with two numbers are drawn twice as often as kinds
 /// with one, and kinds that share a number half as often.
 fn draw_kind(rng: &mut StdRng, agents: usize) -> FaultKind {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! One run: starts a fleet and its callers, injects the faults of a seed and waits for recovery.
 
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use crate::plan::FaultEvent;
 use crate::plan::FaultKind;
 use crate::plan::draw;
+use crate::plan::draw_restores;
 use crate::relay::LinkMode;
 
 /// Time from the start of the processes to the first requests.
@@ -26,6 +28,9 @@
 /// Longest time from the end of the last fault to recovery: the platform's bound on recovery, 15 s, and one
 /// window.
 const MAX_RECOVERY_MS: u64 = 16_000;
+/// Time by which recovery may take longer after the store came back from an older copy: agents hold back claims for
+/// 20.5 s, and one of them then writes first.
+const MAX_SETTLE_MS: u64 = 22_500;
 /// Time over which the share of served requests is measured.
 const WINDOW_MS: u64 = 1_000;
 /// Minimum share of requests that a recovered fleet serves.
@@ -56,10 +61,14 @@
     fleet: SoakFleet,
     callers: Rc<SharedCallerState>,
     config_version: u64,
+    /// Availability zones that are taken out.
+    zones_out: BTreeSet<usize>,
+    /// Longest time to recovery, in milliseconds.
+    max_recovery_ms: u64,
 }
 
-/// Runs one seed with faults over `length_ms`. `agent_program` is the path of the agents' program; settings
-/// and logs are written to `folder`.
+/// Runs one seed with faults over `length_ms`, among them `restores` of the store from an older copy. `agent_program` is
+/// the path of the agents' program; settings and logs are written to `folder`.
 ///
 /// # Errors
 ///
@@ -69,6 +78,7 @@
     folder: &Path,
     seed: u64,
     length_ms: u64,
+    restores: usize,
 ) -> Result<SoakReport> {
     std::fs::create_dir_all(folder)?;
     // Mixes the process id and the seed, so that fleets that run at the same time hardly ever share addresses.
@@ -79,6 +89,8 @@
         fleet,
         callers,
         config_version: 1,
+        zones_out: BTreeSet::new(),
+        max_recovery_ms: MAX_RECOVERY_MS + if restores > 0 { MAX_SETTLE_MS } else { 0 },
     };
     run.fleet.configure(run.config_version, "reads");
     for index in 0..INSTANCES {
@@ -91,7 +103,10 @@
         actix_rt::spawn(Rc::clone(&run.callers).send_requests(instance.caller, caller_seed));
     }
     run.check_baseline().await;
-    run.inject_faults(&draw(seed, length_ms, INSTANCES)).await?;
+    let mut events = draw(seed, length_ms, INSTANCES);
+    events.extend(draw_restores(seed, length_ms, restores));
+    events.sort_by_key(|event| event.at_ms);
+    run.inject_faults(&events).await?;
     let recovered_ms = run.wait_for_recovery().await?;
     run.callers.should_stop.set(true);
     let counts = run.callers.counts.get();
@@ -177,6 +192,10 @@
                 expires_leases: true,
                 ..faults
             }),
+            FaultKind::StoreRestore(..) => fleet.store.set_faults(StoreFaults {
+                is_busy: true,
+                ..faults
+            }),
             FaultKind::StoreSlow => fleet.store.set_faults(StoreFaults {
                 delay_ms: 240,
                 ..faults
@@ -190,6 +209,7 @@
             FaultKind::DrainBackend(index) => fleet.drain_backend(index),
             FaultKind::ZoneOut(zone) => {
                 operator::set_zone_out(&fleet.store, ZONES[zone], true);
+                self.zones_out.insert(zone);
             }
             FaultKind::Configure => {
                 self.config_version += 3;
@@ -211,7 +231,7 @@
     /// # Errors
     ///
     /// If a process or a backend server can't be started, or a process can't be signalled.
-    async fn end_fault(&self, kind: FaultKind) -> Result<()> {
+    async fn end_fault(&mut self, kind: FaultKind) -> Result<()> {
         let fleet = &self.fleet;
         match kind {
             FaultKind::KillAgent(index) => fleet.start_agent(index)?,
@@ -231,6 +251,15 @@
             | FaultKind::StoreBusy
             | FaultKind::StoreSlow
             | FaultKind::StoreLost => fleet.store.set_faults(StoreFaults::default()),
+            FaultKind::StoreRestore(age_ms, keeps_leases) => {
+                fleet.store.restore(age_ms, keeps_leases);
+                fleet.store.set_faults(StoreFaults::default());
+                // Operators write again what the store has lost.
+                fleet.configure(self.config_version, self.callers.reads_service.get());
+                for (zone, name) in ZONES.iter().enumerate() {
+                    operator::set_zone_out(&fleet.store, name, self.zones_out.contains(&zone));
+                }
+            }
             FaultKind::CrashBackend(index) => fleet.start_backend(index).await?,
             FaultKind::DrainBackend(index) => {
                 sleep(Duration::from_millis(DRAIN_MS)).await;
@@ -239,6 +268,7 @@
             }
             FaultKind::ZoneOut(zone) => {
                 operator::set_zone_out(&fleet.store, ZONES[zone], false);
+                self.zones_out.remove(&zone);
             }
             FaultKind::StopAgent(_)
             | FaultKind::ReloadAgent(_)
@@ -268,7 +298,7 @@
             if window.served_share() >= MIN_RECOVERED_SHARE && window.outdated == 0 {
                 return Ok(elapsed_ms);
             }
-            if elapsed_ms > MAX_RECOVERY_MS {
+            if elapsed_ms > self.max_recovery_ms {
                 let text = format!(
                     "{elapsed_ms} ms after the end of the last fault, {} of {} requests were served, {} of \
                      them by an outdated route",
