edge: random schedules of a store that comes back from older copies

It checks that no key has two holders, that a fence never goes back and is never given out twice, and that every key is granted within 25.5 s after the last fault. The tables after a restore and the right to grant by era are functions of their own, so that the model can use them.

--- a/crates/edge/src/era.rs
+++ b/crates/edge/src/era.rs
@@ -22,6 +22,45 @@
 /// lease. The revisions that a commit expects may have been issued again in an era that began since.
 const MAX_ANSWER_AGE_MS: u64 = 2_000;
 
+/// Until when renewals of the lease allow an agent to grant keys.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EraAuthority {
+    /// Era of the store in which the lease was last renewed.
+    era: u64,
+    /// End by the last renewal.
+    until: Millis,
+    /// End by the last renewal in an earlier era.
+    earlier_until: Millis,
+}
+
+impl EraAuthority {
+    /// Returns the authority after a renewal in `era` that allows granting until `until`.
+    #[must_use]
+    pub const fn renewed(self, era: u64, until: Millis) -> Self {
+        let earlier_until = if era == self.era {
+            self.earlier_until
+        } else {
+            self.until
+        };
+        Self {
+            era,
+            until,
+            earlier_until,
+        }
+    }
+
+    /// Returns until when the agent may grant keys in `era`. Renewals of that era count only if `is_confirmed`: the era
+    /// is settled, or the store's tables name the owner of all that its backend server holds.
+    #[must_use]
+    pub const fn until(self, era: u64, is_confirmed: bool) -> Millis {
+        if self.era == era && !is_confirmed {
+            self.earlier_until
+        } else {
+            self.until
+        }
+    }
+}
+
 /// The newest era that any answer of the store stated, shared by the agent's clients.
 #[derive(Debug)]
 pub struct StoreEra {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod range_manager;
 pub mod refusal;
 pub mod request_log;
+pub mod restore;
 pub mod sent_requests;
 pub mod snapshot;
 pub mod support;
--- a/crates/edge/src/member.rs
+++ b/crates/edge/src/member.rs
@@ -20,6 +20,7 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::era::EraAuthority;
 use crate::feed::SnapshotSender;
 use crate::snapshot::FleetSnapshot;
 use crate::snapshot::instance_key;
@@ -87,42 +88,6 @@
     revision: u64,
 }
 
-/// Until when renewals of the lease allow the agent to grant keys.
-#[derive(Clone, Copy, Debug, Default)]
-struct EraAuthority {
-    /// Era of the store in which the lease was last renewed.
-    era: u64,
-    /// End by the last renewal.
-    until: Millis,
-    /// End by the last renewal in an earlier era.
-    earlier_until: Millis,
-}
-
-impl EraAuthority {
-    /// Returns the authority after a renewal in `era` that allows granting until `until`.
-    const fn renewed(self, era: u64, until: Millis) -> Self {
-        let earlier_until = if era == self.era {
-            self.earlier_until
-        } else {
-            self.until
-        };
-        Self {
-            era,
-            until,
-            earlier_until,
-        }
-    }
-
-    /// Returns until when the agent may grant what no table of `era` confirms.
-    const fn before(self, era: u64) -> Millis {
-        if self.era == era {
-            self.earlier_until
-        } else {
-            self.until
-        }
-    }
-}
-
 impl LocalMember {
     /// Creates a membership without a lease or a record.
     #[must_use]
@@ -170,14 +135,10 @@
     /// other agents may give out by those tables as soon as the era is settled for them.
     #[must_use]
     pub fn authority(&self) -> Millis {
-        let authority = self.authority.get();
         let cap = {
             let snapshot = self.snapshot.borrow();
-            if snapshot.is_era_settled(clock::now()) || (self.restored)(&snapshot) {
-                authority.until
-            } else {
-                authority.before(snapshot.era)
-            }
+            let is_confirmed = snapshot.is_era_settled(clock::now()) || (self.restored)(&snapshot);
+            self.authority.get().until(snapshot.era, is_confirmed)
         };
         self.support.authorized_until(cap)
     }
