edge: fewer keys without an owner while a new era settles

A backend server that started anew in the 20.5 s of the hold-back got no keys until its end, and an agent that started late in it held back for 20.5 s of its own. Now a new incarnation gets what this run of the agent granted to the one before it and nobody else may grant yet, under new fences of the era, and an agent that holds back only because of an old or incomplete table goes on once a settled agent has written that table.

--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -71,6 +71,9 @@
     drain_ms: u64,
     /// The incarnation that began to leave according to the store.
     recorded_leaving: RefCell<Option<BackendIncarnation>>,
+    /// What this run of the agent granted to earlier incarnations that they held when the present one announced itself,
+    /// and until when.
+    inherited: RefCell<(Vec<GrantedRange>, Millis)>,
     /// Era of the store in which the tables were read.
     era: Cell<u64>,
     /// Until when only what the backend server holds is granted, since the store has come back from an older copy.
@@ -96,6 +99,7 @@
             announce_interval_ms,
             drain_ms: 0,
             recorded_leaving: RefCell::default(),
+            inherited: RefCell::default(),
             era: Cell::new(0),
             settled_at: Cell::default(),
             is_closed: Cell::new(false),
@@ -221,7 +225,10 @@
                 announced.cold_ms
             );
             match current.take() {
-                Some(state) => sent = state.sent,
+                Some(state) => {
+                    self.inherit(now, &state);
+                    sent = state.sent;
+                }
                 // A backend server that has just started holds nothing.
                 None if announced.held.is_empty() => {}
                 None => {
@@ -328,9 +335,9 @@
     /// Grants the ranges of an owner that are not moving to another. Returns `None` if too little authority
     /// is left for a grant of one announcement interval.
     ///
-    /// Until the store's era is settled, the table may be an old one, so that only what the backend server holds is
-    /// granted. Later, a range that it does not hold needs a fence of the era, since fences of the era before may
-    /// have been given out without a trace in the store.
+    /// Until the store's era is settled, the table may be an old one, so that only what the backend server holds, and
+    /// ranges with a fence of the era, are granted. Later, a range that it does not hold needs a fence of the era,
+    /// since fences of the era before may have been given out without a trace in the store.
     fn grant(
         &self,
         now: Millis,
@@ -345,14 +352,16 @@
         if grant_ms < self.announce_interval_ms {
             return None;
         }
-        if now < self.settled_at.get() {
-            let ranges = state.held_grants(now);
-            return (!ranges.is_empty()).then_some(GrantReply { ranges, grant_ms });
-        }
         let oldest_fence = first_fence(self.era.get());
+        let is_settled = now >= self.settled_at.get();
+        let mut ranges = if is_settled {
+            Vec::new()
+        } else {
+            state.held_grants(now)
+        };
         let is_kept = |range: &&KeyRange| {
-            range.next_owner.is_none()
-                && (range.fence >= oldest_fence || state.holds_range(now, range))
+            let is_held = is_settled && state.holds_range(now, range);
+            range.next_owner.is_none() && (range.fence >= oldest_fence || is_held)
         };
         let to_granted = |range: &KeyRange| GrantedRange {
             first: range.first,
@@ -360,8 +369,14 @@
             fence: range.fence,
             handover: Name::clone(&range.handover),
         };
-        let ranges = table.owned(owner).filter(is_kept).map(to_granted).collect();
-        Some(GrantReply { ranges, grant_ms })
+        for range in table.owned(owner).filter(is_kept).map(to_granted) {
+            let overlaps =
+                |held: &GrantedRange| held.first <= range.last && range.first <= held.last;
+            if is_settled || !ranges.iter().any(overlaps) {
+                ranges.push(range);
+            }
+        }
+        (is_settled || !ranges.is_empty()).then_some(GrantReply { ranges, grant_ms })
     }
 
     /// Whether the backend server leaves and the newest table still leaves keys with it. Its announcement is
--- a/crates/edge/src/backend/held.rs
+++ b/crates/edge/src/backend/held.rs
@@ -5,6 +5,7 @@
 use jy_types::name::Name;
 use jy_types::time::Millis;
 
+use super::BackendState;
 use super::LocalBackend;
 use crate::snapshot::FleetSnapshot;
 
@@ -22,6 +23,26 @@
         self.read(|state| state.map_or_else(Vec::new, |state| state.held_grants(now)))
     }
 
+    /// Keeps what an earlier incarnation holds for the one that replaces it.
+    pub(super) fn inherit(&self, now: Millis, earlier: &BackendState) {
+        let held = earlier.held_grants(now);
+        if !held.is_empty() {
+            self.inherited.replace((held, earlier.held_until));
+        }
+    }
+
+    /// Returns what this run of the agent granted to earlier incarnations and no other agent may grant yet.
+    #[must_use]
+    pub fn inherited_grants(&self, now: Millis) -> Vec<GrantedRange> {
+        let inherited = self.inherited.borrow();
+        let (grants, until) = &*inherited;
+        if now < *until {
+            grants.clone()
+        } else {
+            Vec::new()
+        }
+    }
+
     /// Whether the backend server holds a range under its fence.
     #[must_use]
     pub fn holds_range(&self, now: Millis, range: &KeyRange) -> bool {
--- a/crates/edge/src/backend/state.rs
+++ b/crates/edge/src/backend/state.rs
@@ -82,7 +82,7 @@
             let mut released = self.released.iter();
             released.any(|range| range.first <= grant.last && grant.first <= range.last)
         };
-        if now >= self.held_until || self.has_exited(now) {
+        if now >= self.held_until {
             return Vec::new();
         }
         let held = self.last_reply.iter().filter(|grant| !is_released(grant));
--- a/crates/edge/src/range_manager.rs
+++ b/crates/edge/src/range_manager.rs
@@ -210,14 +210,14 @@
             return Ok(true);
         };
         if change.lost_owners.is_empty() {
-            self.write(&service, change).await?;
+            self.write(&service, change, snapshot.era).await?;
             return Ok(true);
         }
         // An owner may have come back and lapsed again since this agent last read the store.
         self.parts.feed.catch_up().await?;
         let snapshot = Rc::clone(&self.parts.snapshot.borrow());
         if let Some(change) = self.due_change(&snapshot, &service) {
-            self.write(&service, change).await?;
+            self.write(&service, change, snapshot.era).await?;
         }
         Ok(true)
     }
@@ -354,15 +354,14 @@
         receivers.iter().filter(ranks_before).count() as u64 * RANK_DELAY_MS
     }
 
-    /// Writes a change of a table, provided that its preconditions still hold. On a conflict, reads the table
-    /// again.
+    /// Writes a change of a table that rests on records of `era`, provided that its preconditions still hold. On a
+    /// conflict, reads the table again.
     ///
     /// # Errors
     ///
     /// Returns an error if the store can't be written, or can't be read after a conflict.
-    async fn write(&self, service: &Name, change: TableChange) -> Result<()> {
+    async fn write(&self, service: &Name, change: TableChange, era: u64) -> Result<()> {
         let expected_revision = change.expected_revision;
-        let era = self.parts.snapshot.borrow().era;
         if !self.parts.era.may_commit(clock::now(), era) {
             log::debug!("key ranges not written: the store may have come back from an older copy");
             return Ok(());
--- a/crates/edge/src/restore.rs
+++ b/crates/edge/src/restore.rs
@@ -9,7 +9,8 @@
 use crate::snapshot::FleetSnapshot;
 
 /// Returns the table with the ranges that the local backend server holds, or `None` if the store's table has them.
-/// Without a table in the store, the one of the earlier era is the start.
+/// Without a table in the store, the one of the earlier era is the start. What an earlier incarnation of the backend
+/// server held goes to the present one, under new fences.
 #[must_use]
 pub fn table_with_held(
     now: Millis,
@@ -18,12 +19,24 @@
     service: &str,
 ) -> Option<RangeTable> {
     let own = backend.owner()?;
-    if backend.is_restored(now, snapshot) {
+    let table = snapshot.table(service)?.clone().with_era(snapshot.era);
+    let inherited = backend.inherited_grants(now);
+    let is_inherited = |range: &KeyRange| {
+        let mut grants = inherited.iter();
+        grants.any(|grant| grant.first <= range.last && range.first <= grant.last)
+    };
+    let mut overlapping = table.ranges().iter().filter(|range| is_inherited(range));
+    let has_inherited = overlapping.all(|range| range.owner == own);
+    if has_inherited && backend.is_restored(now, snapshot) {
         return None;
     }
-    let table = snapshot.table(service)?.clone();
-    let held = backend.held_grants(now);
-    let table = table.with_era(snapshot.era).with_held(&own, &held);
+    let table = if has_inherited {
+        table
+    } else {
+        let table = table.with_held(&own, &inherited);
+        table.with_new_fences(|range| range.owner == own && is_inherited(range))
+    };
+    let table = table.with_held(&own, &backend.held_grants(now));
     Some(table.with_incomplete(true))
 }
 
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -114,6 +114,8 @@
     /// Until when nothing of other agents is taken, since the store has come back from an older copy; zero if this
     /// agent has not seen that.
     pub settled_at: Millis,
+    /// The service whose table showed that the store came back from an older copy before this agent started.
+    pub held_back_by: Option<Name>,
     /// The last complete key ranges of earlier eras, by service.
     pub earlier_ranges: BTreeMap<Name, Rc<RangeTable>>,
 }
@@ -193,6 +195,7 @@
         let has_read_earlier = self.revision > 0 || self.operator_revision > 0;
         if era > newest && has_read_earlier {
             self.hold_back(now, era);
+            self.held_back_by = None;
         }
         match part {
             FeedPart::Operator if era > self.operator_era => {
@@ -218,11 +221,17 @@
         );
     }
 
-    /// Holds back claims if a table shows that the store came back from an older copy before this agent started.
-    fn check_table_era(&mut self, now: Millis, table: &RangeTable) {
+    /// Holds back claims if a table shows that the store came back from an older copy before this agent started, until an
+    /// agent for which the era is settled has written that table.
+    fn check_table_era(&mut self, now: Millis, service: &str, table: &RangeTable) {
         let is_from_copy = table.era() < self.era || table.is_incomplete();
         if is_from_copy && self.settled_at == Millis::default() {
             self.hold_back(now, self.era);
+            self.held_back_by = Some(service.into());
+        } else if !is_from_copy && self.held_back_by.as_deref() == Some(service) {
+            log::info!("belief era={} is settled for other agents", self.era);
+            self.settled_at = self.settled_at.min(now);
+            self.held_back_by = None;
         }
     }
 
@@ -416,7 +425,7 @@
         };
         match RangeTable::parse(value) {
             Ok(table) => {
-                self.check_table_era(now, &table);
+                self.check_table_era(now, service, &table);
                 let versioned = VersionedRanges {
                     table: Rc::new(table),
                     revision: record.revision,
--- a/crates/edge/tests/test_backend.rs
+++ b/crates/edge/tests/test_backend.rs
@@ -6,6 +6,9 @@
 use googletest::prelude::*;
 use jy_edge::backend::AnnounceOutcome;
 use jy_edge::backend::LocalBackend;
+use jy_edge::restore;
+use jy_edge::snapshot::FleetSnapshot;
+use jy_edge::snapshot::VersionedRanges;
 use jy_kernel::clock;
 use jy_ranges::table::RangeOwner;
 use jy_ranges::table::RangeTable;
@@ -576,3 +579,43 @@
         is_empty()
     );
 }
+
+/// Guards against keys that stay without an owner for the whole hold-back since their backend server started anew, and
+/// against its grants under the fences of the run before.
+#[gtest]
+fn announce_unsettled_era_new_incarnation_gets_new_fences() {
+    let table = RangeTable::new(&[(owner(1), 1)]).expect("one owner");
+    let backend = unannounced_backend();
+    granted_fences(&backend, 1_000, 1, &table, 60_000);
+    backend.set_era(1, Millis(22_000));
+    let announce = |now: u64, sequence: u64, table: &RangeTable| {
+        let announced = announcement(2, sequence);
+        let (now, authority) = (Millis(now), Millis(60_000));
+        backend.announce(now, address(), announced, Some(table), authority)
+    };
+    expect_that!(
+        announce(2_000, 1, &table),
+        eq(&AnnounceOutcome::Accepted(None))
+    );
+    let ranges = VersionedRanges {
+        table: Rc::new(table),
+        revision: 5,
+    };
+    let snapshot = FleetSnapshot {
+        era: 1,
+        settled_at: Millis(22_000),
+        ranges: [("s".into(), ranges)].into(),
+        ..FleetSnapshot::default()
+    };
+    let claimed = restore::table_with_held(Millis(2_100), &backend, &snapshot, "s");
+    let claimed = claimed.expect("the keys go to the new incarnation");
+    let fences: Vec<u64> = claimed.owned(&owner(2)).map(|range| range.fence).collect();
+    expect_that!(fences, elements_are![eq(&(1 << 32))]);
+    let AnnounceOutcome::Accepted(Some(reply)) = announce(3_000, 2, &claimed) else {
+        panic!("the keys are granted");
+    };
+    expect_that!(reply.ranges.len(), eq(1));
+    expect_that!(reply.ranges[0].fence, eq(1 << 32));
+    let late = restore::table_with_held(Millis(9_000), &backend, &snapshot, "s");
+    expect_that!(late, none(), "the hold of the earlier incarnation is over");
+}
--- a/crates/edge/tests/test_era.rs
+++ b/crates/edge/tests/test_era.rs
@@ -197,6 +197,25 @@
     expect_that!(listed(2, table(2, true)), eq(held_back));
 }
 
+/// Guards against an agent that starts late in the hold-back and holds back again for as long.
+#[gtest]
+fn with_changes_settled_table_ends_hold_back() {
+    let ranges = |revision: u64, table: RangeTable| {
+        let text = table.to_text().expect("a table can be encoded").to_string();
+        record(ranges_key("s"), revision, Some(text))
+    };
+    let first = vec![ranges(30, table(2, true))];
+    let (_, snapshot) = apply_list(Default::default(), 1_000, 2, first, 40);
+    let settled = [ranges(50, table(2, false))];
+    let snapshot = snapshot.with_changes(Millis(3_000), FeedPart::Fleet, &settled, 50);
+    expect_that!(snapshot.era_settled_at(), eq(Millis(3_000)));
+    // An agent that has seen the era begin relies on its own clock.
+    let seen = apply_list(Default::default(), 1_000, 1, vec![instance(30)], 40);
+    let (_, snapshot) = apply_list(seen, 2_000, 2, vec![ranges(20, table(1, false))], 30);
+    let snapshot = snapshot.with_changes(Millis(3_000), FeedPart::Fleet, &settled, 50);
+    expect_that!(snapshot.era_settled_at(), eq(Millis(2_000).plus(SETTLE_MS)));
+}
+
 /// Guards against commits with revisions that may have been issued again, and against any wait with a store that states
 /// no era.
 #[gtest]
