--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -10,6 +10,7 @@
 use jy_ranges::table::KeyRange;
 use jy_ranges::table::RangeOwner;
 use jy_ranges::table::RangeTable;
+use jy_ranges::table::first_fence;
 use jy_types::endpoint::Announcement;
 use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::BackendPhase;
@@ -26,6 +27,7 @@
 use crate::sent_requests::SentRequests;
 use crate::sent_requests::SentTicket;
 
+mod held;
 mod state;
 
 pub use state::BackendState;
@@ -69,6 +71,13 @@
     drain_ms: u64,
     /// The incarnation that began to leave according to the store.
     recorded_leaving: RefCell<Option<BackendIncarnation>>,
+    /// What this run of the agent granted to earlier incarnations that they held when the present one announced itself,
+    /// and until when.
+    inherited: RefCell<(Vec<GrantedRange>, Millis)>,
+    /// Era of the store in which the tables were read.
+    era: Cell<u64>,
+    /// Until when only what the backend server holds is granted, since the store has come back from an older copy.
+    settled_at: Cell<Millis>,
     is_closed: Cell<bool>,
     changes: watch::Sender<u64>,
 }
@@ -90,6 +99,9 @@
             announce_interval_ms,
             drain_ms: 0,
             recorded_leaving: RefCell::default(),
+            inherited: RefCell::default(),
+            era: Cell::new(0),
+            settled_at: Cell::default(),
             is_closed: Cell::new(false),
             changes: watch::Sender::new(0),
         }
@@ -213,7 +225,10 @@
                 announced.cold_ms
             );
             match current.take() {
-                Some(state) => sent = state.sent,
+                Some(state) => {
+                    self.inherit(now, &state);
+                    sent = state.sent;
+                }
                 // A backend server that has just started holds nothing.
                 None if announced.held.is_empty() => {}
                 None => {
@@ -239,6 +254,7 @@
             leaving_since: None,
             disowned: false,
             granted: None,
+            last_reply: Vec::new(),
             held_until: now.plus(self.longest_grant_ms),
             released: Vec::new(),
             sent,
@@ -300,8 +316,9 @@
         if state.sent.runs_elsewhere(&owner.incarnation) {
             return None;
         }
-        let reply = self.grant(now, table, &owner, authority)?;
+        let reply = self.grant(now, state, table, &owner, authority)?;
         state.granted = Some(reply.ranges.iter().map(to_held_range).collect());
+        state.last_reply.clone_from(&reply.ranges);
         // A range that is granted again will be released again, with another handover text.
         let is_granted_again = |released: &ReleasedRange| {
             let mut ranges = reply.ranges.iter();
@@ -317,9 +334,14 @@
 
     /// Grants the ranges of an owner that are not moving to another. Returns `None` if too little authority
     /// is left for a grant of one announcement interval.
+    ///
+    /// Until the store's era is settled, the table may be an old one, so that only what the backend server holds, and
+    /// ranges with a fence of the era, are granted. Later, a range that it does not hold needs a fence of the era,
+    /// since fences of the era before may have been given out without a trace in the store.
     fn grant(
         &self,
         now: Millis,
+        state: &BackendState,
         table: &RangeTable,
         owner: &RangeOwner,
         authority: Millis,
@@ -330,15 +352,31 @@
         if grant_ms < self.announce_interval_ms {
             return None;
         }
-        let is_kept = |range: &&KeyRange| range.next_owner.is_none();
+        let oldest_fence = first_fence(self.era.get());
+        let is_settled = now >= self.settled_at.get();
+        let mut ranges = if is_settled {
+            Vec::new()
+        } else {
+            state.held_grants(now)
+        };
+        let is_kept = |range: &&KeyRange| {
+            let is_held = is_settled && state.holds_range(now, range);
+            range.next_owner.is_none() && (range.fence >= oldest_fence || is_held)
+        };
         let to_granted = |range: &KeyRange| GrantedRange {
             first: range.first,
             last: range.last,
             fence: range.fence,
             handover: Name::clone(&range.handover),
         };
-        let ranges = table.owned(owner).filter(is_kept).map(to_granted).collect();
-        Some(GrantReply { ranges, grant_ms })
+        for range in table.owned(owner).filter(is_kept).map(to_granted) {
+            let overlaps =
+                |held: &GrantedRange| held.first <= range.last && range.first <= held.last;
+            if is_settled || !ranges.iter().any(overlaps) {
+                ranges.push(range);
+            }
+        }
+        (is_settled || !ranges.is_empty()).then_some(GrantReply { ranges, grant_ms })
     }
 
     /// Whether the backend server leaves and the newest table still leaves keys with it. Its announcement is
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -70,6 +70,10 @@
     pub gate_refused: Family<RefusalLabels, Counter>,
     /// Ranges of keys that the backend server owns.
     pub ranges: Gauge,
+    /// Era of the store in which the agents' records were read.
+    pub store_era: Gauge,
+    /// Time for which claims are still held back after a new era began, in milliseconds.
+    pub held_back_ms: Gauge,
     /// Memory that connections use.
     pub memory: MemoryMetrics,
 }
@@ -125,6 +129,8 @@
             gate_waiting_late: Gauge::default(),
             gate_refused: Family::default(),
             ranges: Gauge::default(),
+            store_era: Gauge::default(),
+            held_back_ms: Gauge::default(),
             memory: MemoryMetrics::default(),
         };
         metrics.register();
@@ -195,6 +201,12 @@
             self.gate_refused.clone(),
         );
         registry.register("ranges", "Ranges of keys owned", self.ranges.clone());
+        registry.register("store_era", "Era of the store", self.store_era.clone());
+        registry.register(
+            "held_back_ms",
+            "Time for which claims are held back",
+            self.held_back_ms.clone(),
+        );
         let memory = &self.memory;
         let gauges = [
             ("memory_limit_bytes", "Budget of connections", &memory.limit),
--- a/crates/edge/tests/test_feed.rs
+++ b/crates/edge/tests/test_feed.rs
@@ -9,6 +9,7 @@
 use actix_http::StatusCode;
 use bytes::Bytes;
 use googletest::prelude::*;
+use jy_edge::era::StoreEra;
 use jy_edge::feed::FeedPart;
 use jy_edge::feed::FeedState;
 use jy_edge::feed::RecordFeed;
@@ -19,6 +20,7 @@
 use jy_http::pool::ConnectionPool;
 use jy_http::server::HttpListener;
 use jy_http::server::ReadLimits;
+use jy_platform::store::StoreAnswer;
 use jy_platform::store::StoreClient;
 use jy_platform::store::StoreError;
 use jy_types::endpoint::InstanceRecord;
@@ -94,7 +96,7 @@
             let (status, body) = answer.ok_or_else(|| StoreError::NoAnswer {
                 cause: "cut".into(),
             })?;
-            Ok((status, Bytes::from(body)))
+            Ok(StoreAnswer::new(status, Bytes::from(body)))
         })
     }));
     actix_rt::System::new().block_on(async move {
@@ -118,6 +120,7 @@
             pool: ConnectionPool::new(),
             is_revocation_bounded,
             avoided: RefCell::default(),
+            era: Rc::new(StoreEra::new()),
         };
         actix_rt::spawn(async move { feed.run().await });
         let zone_out = updates.wait_for(|snapshot| snapshot.zones_out.contains(zone));
@@ -247,7 +250,7 @@
             if is_watch {
                 std::future::pending::<()>().await;
             }
-            Ok((200, Bytes::from(body)))
+            Ok(StoreAnswer::new(200, Bytes::from(body)))
         })
     }));
     actix_rt::System::new().block_on(async move {
@@ -264,6 +267,7 @@
             pool: ConnectionPool::new(),
             is_revocation_bounded,
             avoided: RefCell::default(),
+            era: Rc::new(StoreEra::new()),
         };
         let _is_over = timeout(Duration::from_millis(100), feed.run()).await;
     });
--- a/crates/types/tests/test_tenant.rs
+++ b/crates/types/tests/test_tenant.rs
@@ -39,6 +39,7 @@
         value: Some(KEY.into()),
     };
     let batch = RecordBatch {
+        era: 0,
         records: vec![record.clone()],
         complete_to: 3,
     };
