policy, types: quotas of tenants as credit that agents lend

Cause: rate_per_s and burst of a tenant limit the sum of its requests over all agents, whether or not these can reach each other.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`moving`]: waiting for keys that move between backend servers.
 //! - [`offered`]: measurement of offered work and overload.
 //! - [`outage`]: calls to a store that does not answer.
+//! - [`quota`]: quotas of tenants, as credit that agents lend to each other.
 //! - [`service_time`]: moving mean of service times.
 //! - [`settling`]: completeness of a starting fleet.
 //! - [`transfer`]: admission of large bodies to a slow network link.
@@ -23,6 +24,7 @@
 pub mod moving;
 pub mod offered;
 pub mod outage;
+pub mod quota;
 pub mod service_time;
 pub mod settling;
 pub mod transfer;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod member;
 pub mod name;
 pub mod peer;
+pub mod quota;
 pub mod record;
 pub mod request;
 pub mod routing;
