edge: enforce quotas of tenants over all agents

Cause: LocalQuota admitted every request.

Change: requests of tenants with a quota wait for credit, which the agent takes from its own slots or requests by POST /jy/quota from their holders, at most one request under way for a tenant. Without a tenant with a quota nothing is written or sent.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -52,7 +52,9 @@
 use crate::member::LocalMember;
 use crate::member::RecordFn;
 use crate::metrics::EdgeMetrics;
+use crate::quota;
 use crate::quota::LocalQuota;
+use crate::quota::QuotaFleet;
 use crate::range_manager::RangeManager;
 use crate::range_manager::RangeManagerParts;
 use crate::refusal;
@@ -97,6 +99,7 @@
     backend: SharedBackend,
     gate: Rc<LocalGate>,
     gateway: Rc<CallerGateway>,
+    quota: Rc<LocalQuota>,
     member: Rc<LocalMember>,
     support: Rc<LocalSupport>,
     metrics: Rc<EdgeMetrics>,
@@ -170,6 +173,7 @@
             Rc::clone(&metrics),
             link_bytes_per_ms,
         ));
+        let quota = Rc::new(LocalQuota::new(Name::clone(&settings.name), bounds.quota));
         let gateway = Rc::new(CallerGateway::new(GatewayParts {
             node: Name::clone(&settings.name),
             zone: Name::clone(&settings.zone),
@@ -182,7 +186,7 @@
                 slack: bounds.retry_slack,
                 window_ms: bounds.retry_window_ms,
             },
-            quota: Rc::new(LocalQuota::new(Name::clone(&settings.name), bounds.quota)),
+            quota: Rc::clone(&quota),
             metrics: Rc::clone(&metrics),
             refresh_requested: Rc::clone(&refresh_requested),
         }));
@@ -194,7 +198,7 @@
             Name::clone(&run),
             Rc::clone(&snapshot),
         ));
-        let record = record_builder(&settings, run, &backend, &is_shutting_down);
+        let record = record_builder(&settings, Name::clone(&run), &backend, &is_shutting_down);
         let leaving_backend = Rc::clone(&backend);
         let member = LocalMember::new(
             store,
@@ -204,6 +208,13 @@
             Rc::clone(&support),
         );
         let member = Rc::new(member.with_leaving(Rc::new(move || leaving_backend.leaving())));
+        quota.join(QuotaFleet {
+            zone: Name::clone(&settings.zone),
+            run,
+            snapshot: Rc::clone(&snapshot),
+            member: Rc::clone(&member),
+            metrics: Rc::clone(&metrics),
+        });
         let feed = Rc::new(watch::Sender::new(FeedState::default()));
         let relay = |part| RelayedRecords {
             part,
@@ -220,6 +231,7 @@
             backend,
             gate,
             gateway,
+            quota,
             member,
             support,
             metrics,
@@ -239,6 +251,8 @@
         starter.start("fleet feed", async move { fleet.run().await });
         let member = Rc::clone(&self.member);
         starter.start("member", async move { member.run().await });
+        let quota = Rc::clone(&self.quota);
+        starter.start("quota", async move { quota.run().await });
         let support = Rc::clone(&self.support);
         starter.start("support", async move { support.run().await });
         let agent = Rc::clone(self);
@@ -397,7 +411,7 @@
             })
     }
 
-    /// Serves a request of another agent: for records, for support, or forwarded from a caller.
+    /// Serves a request of another agent: for records, for credit, for support, or forwarded from a caller.
     fn serve_peer(
         &self,
         request: HttpRequest,
@@ -425,12 +439,16 @@
         })
     }
 
-    /// Answers another agent's own request, by its path: for records, for the transfer of a body, or for support.
-    /// Returns `None` if it is none of these.
+    /// Answers another agent's own request, by its path: for records, for credit of a quota, for the
+    /// transfer of a body, or for support. Returns `None` if it is none of these.
     fn answer_peer(&self, request: &HttpRequest) -> Option<LocalBoxFuture<'static, HttpResponse>> {
         match request.path() {
             feed::FLEET_PATH => Some(Self::answer_relay(request, self.fleet.clone())),
             feed::OPERATOR_PATH => Some(Self::answer_relay(request, self.operator.clone())),
+            quota::QUOTA_PATH => {
+                let response = self.quota.answer(request);
+                Some(Box::pin(async move { response }))
+            }
             transfer::TRANSFER_PATH => Some(Box::pin(
                 Rc::clone(&self.gate).answer_transfer(request.clone()),
             )),
--- a/crates/edge/src/app/shutdown.rs
+++ b/crates/edge/src/app/shutdown.rs
@@ -1,5 +1,6 @@
 //! Shuts the agent down without cutting a request.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use jy_http::server::HttpListener;
@@ -33,6 +34,8 @@
         );
         self.is_shutting_down.set(true);
         self.member.request_update();
+        let quota = Rc::clone(&self.quota);
+        actix_rt::spawn(async move { quota.release().await });
         let drain_ms = CALLER_DRAIN_MS.min(grace_ms / 2);
         sleep(Duration::from_millis(drain_ms)).await;
         for listener in listeners {
--- a/crates/edge/src/member.rs
+++ b/crates/edge/src/member.rs
@@ -12,6 +12,7 @@
 use jy_platform::store::StoreCommit;
 use jy_platform::store::StoreWrite;
 use jy_policy::outage;
+use jy_policy::quota::lender::LeaseTerm;
 use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
@@ -71,6 +72,8 @@
     node: Name,
     changed: Notify,
     lease: Cell<u64>,
+    /// Time until which the lease is certain to be in force.
+    lease_until: Cell<Millis>,
     written: Cell<WrittenRecord>,
     authority: Cell<Millis>,
 }
@@ -101,6 +104,7 @@
             node,
             changed: Notify::new(),
             lease: Cell::new(0),
+            lease_until: Cell::new(Millis::default()),
             written: Cell::default(),
             authority: Cell::new(Millis::default()),
         }
@@ -120,6 +124,25 @@
         self.support.authorized_until(self.authority.get())
     }
 
+    /// Returns the lease of the agent's record, or `None` if there is none.
+    #[must_use]
+    pub fn lease_term(&self) -> Option<LeaseTerm> {
+        let lease = self.lease.get();
+        (lease != 0).then(|| LeaseTerm {
+            lease,
+            until: self.lease_until.get(),
+        })
+    }
+
+    /// Applies a commit of further records under the lease.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call to the store fails; the commit may take effect later all the same.
+    pub async fn commit(&self, commit: &StoreCommit) -> Result<CommitOutcome> {
+        self.store.commit(commit).await
+    }
+
     /// Requests an immediate check of the record, since its contents have changed.
     pub fn request_update(&self) {
         self.changed.notify_one();
@@ -162,6 +185,7 @@
             self.lease.set(0);
             return Ok(false);
         }
+        self.lease_until.set(sent_at.plus(LEASE_MS));
         let status = self.record_status();
         if status == RecordStatus::Unconfirmed {
             return Ok(false);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -53,6 +53,18 @@
     pub gate_used_percent: Gauge,
     /// Ranges of keys that the backend server owns.
     pub ranges: Gauge,
+    /// Requests of tenants with a quota that got credit.
+    pub quota_admitted: Counter,
+    /// Requests that were refused because their tenant's quota is used up.
+    pub quota_refused: Counter,
+    /// Requests that were refused because no holder of their tenant's quota could be reached.
+    pub quota_unreachable: Counter,
+    /// Credit that this agent lent, in requests, to itself included.
+    pub quota_lent: Counter,
+    /// Credit requests sent to other agents.
+    pub quota_messages: Counter,
+    /// Quota slots that this agent holds.
+    pub quota_slots: Gauge,
 }
 
 impl EdgeMetrics {
@@ -75,8 +87,15 @@
             gate_busy: Gauge::default(),
             gate_used_percent: Gauge::default(),
             ranges: Gauge::default(),
+            quota_admitted: Counter::default(),
+            quota_refused: Counter::default(),
+            quota_unreachable: Counter::default(),
+            quota_lent: Counter::default(),
+            quota_messages: Counter::default(),
+            quota_slots: Gauge::default(),
         };
         metrics.register();
+        metrics.register_quota();
         metrics
     }
 
@@ -126,6 +145,33 @@
         registry.register("ranges", "Ranges of keys owned", self.ranges.clone());
     }
 
+    /// Registers the metrics of quotas under their names and help texts.
+    fn register_quota(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "quota_admitted",
+            "Requests that got credit",
+            self.quota_admitted.clone(),
+        );
+        registry.register(
+            "quota_refused",
+            "Requests beyond a quota",
+            self.quota_refused.clone(),
+        );
+        registry.register(
+            "quota_unreachable",
+            "Requests without a lender",
+            self.quota_unreachable.clone(),
+        );
+        registry.register("quota_lent", "Credit lent", self.quota_lent.clone());
+        registry.register(
+            "quota_messages",
+            "Credit requests sent to other agents",
+            self.quota_messages.clone(),
+        );
+        registry.register("quota_slots", "Slots held", self.quota_slots.clone());
+    }
+
     /// Counts a request's outcome.
     pub fn count(&self, route: &str, outcome: &str) {
         let labels = OutcomeLabels {
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -15,6 +15,8 @@
 use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
+use jy_types::quota::SlotId;
+use jy_types::quota::SlotRecord;
 use jy_types::record::Record;
 use jy_types::routing::RouteTable;
 use jy_types::time::Millis;
@@ -29,6 +31,8 @@
 const WITNESS_PREFIX: &str = "jy/witness/";
 /// Prefix of the records of backend servers that leave.
 const LEAVING_PREFIX: &str = "jy/leaving/";
+/// Prefix of the records of the holders of quota slots.
+const QUOTA_SLOT_PREFIX: &str = "jy/quota/";
 /// Prefix of the tables of key ranges.
 const RANGES_PREFIX: &str = "jy/ranges/";
 
@@ -84,6 +88,15 @@
     pub revision: u64,
 }
 
+/// The holder of a quota slot and the revision of its record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionedSlot {
+    /// The holder.
+    pub record: Rc<SlotRecord>,
+    /// The record's revision in the store.
+    pub revision: u64,
+}
+
 /// The records of the store as last read, in decoded form.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FleetSnapshot {
@@ -105,6 +118,8 @@
     pub witnesses: BTreeMap<Name, VersionedWitnesses>,
     /// Backend servers that leave or have left, by the name of their instance.
     pub leaving: BTreeMap<Name, LeavingRecord>,
+    /// Holders of quota slots.
+    pub quota_slots: BTreeMap<SlotId, VersionedSlot>,
 }
 
 /// Returns the key of an agent's record.
@@ -125,6 +140,12 @@
     format!("{LEAVING_PREFIX}{node}").into()
 }
 
+/// Returns the key of the record of a quota slot's holder.
+#[must_use]
+pub fn quota_slot_key(slot: SlotId) -> Name {
+    format!("{QUOTA_SLOT_PREFIX}{slot}").into()
+}
+
 /// Returns the key of a service's key ranges.
 #[must_use]
 pub fn ranges_key(service: &str) -> Name {
@@ -235,6 +256,8 @@
             self.apply_witnesses(node, record);
         } else if let Some(node) = record.key.strip_prefix(LEAVING_PREFIX) {
             self.apply_leaving(node, record);
+        } else if let Some(slot) = record.key.strip_prefix(QUOTA_SLOT_PREFIX) {
+            self.apply_quota_slot(slot, record);
         }
     }
 
@@ -360,6 +383,31 @@
         }
     }
 
+    /// Applies the record of a quota slot's holder, or its deletion.
+    fn apply_quota_slot(&mut self, slot: &str, record: &Record) {
+        let Ok(slot) = slot.parse::<SlotId>() else {
+            log::warn!("{} names no quota slot; record ignored", record.key);
+            return;
+        };
+        let Some(value) = &record.value else {
+            self.quota_slots.remove(&slot);
+            return;
+        };
+        match serde_json::from_str::<SlotRecord>(value) {
+            Ok(holder) => {
+                let versioned = VersionedSlot {
+                    record: Rc::new(holder),
+                    revision: record.revision,
+                };
+                self.quota_slots.insert(slot, versioned);
+            }
+            Err(error) => {
+                log::warn!("invalid {}: {error}; the slot counts as free", record.key);
+                self.quota_slots.remove(&slot);
+            }
+        }
+    }
+
     /// Removes instances whose records lapsed long ago.
     fn remove_lapsed(&mut self, now: Millis) {
         let is_kept = |observed: &ObservedInstance| {
--- a/crates/edge/tests/test_metrics.rs
+++ b/crates/edge/tests/test_metrics.rs
@@ -16,7 +16,7 @@
     let names: Vec<&str> = help_lines
         .filter_map(|line| line.split(' ').next())
         .collect();
-    expect_that!(names.len(), eq(13));
+    expect_that!(names.len(), eq(19));
     for name in names {
         expect_that!(
             OPERATIONS_PAGE,
--- /dev/null
+++ b/crates/edge/tests/test_quota.rs
@@ -0,0 +1,322 @@
+//! Tests of the credit that agents lend each other over real connections, and of the claims of slots.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use jy_edge::feed::FeedPart;
+use jy_edge::feed::SnapshotSender;
+use jy_edge::member::LocalMember;
+use jy_edge::metrics::EdgeMetrics;
+use jy_edge::quota::LocalQuota;
+use jy_edge::quota::QUOTA_PATH;
+use jy_edge::quota::QuotaFleet;
+use jy_edge::quota::QuotaOutcome;
+use jy_edge::snapshot::FleetSnapshot;
+use jy_edge::snapshot::ObservedInstance;
+use jy_edge::support::LocalSupport;
+use jy_http::message::HttpRequest;
+use jy_http::server::HttpListener;
+use jy_http::server::ReadLimits;
+use jy_kernel::clock;
+use jy_platform::store::StoreClient;
+use jy_policy::quota::group_of;
+use jy_types::endpoint::InstanceRecord;
+use jy_types::name::Name;
+use jy_types::quota::SlotRecord;
+use jy_types::record::Record;
+use jy_types::routing::CallerLimits;
+use jy_types::routing::RouteTable;
+use jy_types::tenant::TenantQuota;
+use jy_types::tenant::TenantRule;
+use jy_types::tenant::TenantTable;
+use serde_json::Value;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+const LIMITS: ReadLimits = ReadLimits {
+    head_bytes: 16 * 1024,
+    body_bytes: 1024,
+    read_ms: 1_000,
+    idle_ms: 1_000,
+};
+/// Time within which all slots are claimed, in milliseconds.
+const MAX_CLAIM_MS: u64 = 4_000;
+
+/// An agent that lends and borrows.
+struct Agent {
+    quota: Rc<LocalQuota>,
+    metrics: Rc<EdgeMetrics>,
+}
+
+/// A store that grants leases and applies commits of slots' records to the snapshot of all agents.
+fn store(node: &Name, lease: u64, snapshot: &Rc<SnapshotSender>) -> StoreClient {
+    let (node, snapshot) = (Name::clone(node), Rc::clone(snapshot));
+    StoreClient::with_call(Rc::new(move |request: HttpRequest, _| {
+        let reply = if request.path() == "/kv-txn" {
+            commit(&node, lease, &snapshot, &request.body)
+        } else {
+            (200, format!("{{\"lease\":{lease}}}"))
+        };
+        Box::pin(async move { Ok((reply.0, Bytes::from(reply.1))) })
+    }))
+}
+
+/// Applies a commit; records of slots name the agent that wrote them.
+///
+/// # Panics
+///
+/// Panics if the commit is malformed.
+fn commit(node: &Name, lease: u64, snapshot: &SnapshotSender, body: &[u8]) -> (u16, String) {
+    let commit: Value = serde_json::from_slice(body).expect("a commit is JSON");
+    let slot_of = |key: &Value| key.as_str()?.strip_prefix("jy/quota/")?.parse().ok();
+    let current = FleetSnapshot::clone(&snapshot.borrow());
+    let expected = commit["expected_revision"].as_array().expect("a list");
+    let is_expected = |entry: &Value| {
+        slot_of(&entry["key"]).is_none_or(|slot| {
+            let stored = current.quota_slots.get(&slot);
+            stored.map_or(0, |stored| stored.revision) == entry["revision"]
+        })
+    };
+    if !expected.iter().all(is_expected) {
+        return (412, String::new());
+    }
+    let revision = current.revision + 1;
+    let record = SlotRecord {
+        node: Name::clone(node),
+        run: format!("run of {node}").into(),
+        lease,
+    };
+    let value: Name = serde_json::to_string(&record).expect("a record").into();
+    let keys = |name: &str, field: Option<&str>| -> Vec<Name> {
+        let entries = commit[name].as_array().expect("a list").iter();
+        let keys = entries.map(|entry| field.map_or(entry, |field| &entry[field]));
+        let slots = keys.filter(|key| slot_of(key).is_some());
+        slots.filter_map(Value::as_str).map(Name::from).collect()
+    };
+    let change = |key, value| Record {
+        key,
+        revision,
+        value,
+    };
+    let written = keys("writes", Some("key")).into_iter();
+    let deleted = keys("deletes", None).into_iter();
+    let written = written.map(|key| change(key, Some(Name::clone(&value))));
+    let changes: Vec<Record> = written
+        .chain(deleted.map(|key| change(key, None)))
+        .collect();
+    let next = current.with_changes(clock::now(), FeedPart::Fleet, &changes, revision);
+    snapshot.send_replace(Rc::new(next));
+    (200, format!("{{\"revision\":{revision}}}"))
+}
+
+/// Starts an agent in a zone of its own.
+///
+/// # Panics
+///
+/// Panics if no port can be bound.
+async fn start(node: &str, lease: u64, snapshot: &Rc<SnapshotSender>) -> Agent {
+    let node: Name = node.into();
+    let run: Name = format!("run of {node}").into();
+    let zone: Name = format!("zone of {node}").into();
+    let gate = {
+        let probe = std::net::TcpListener::bind("127.0.0.1:0").expect("failed to bind a free port");
+        probe.local_addr().expect("failed to get the local address")
+    };
+    let record = InstanceRecord {
+        node: Name::clone(&node),
+        run: Name::clone(&run),
+        gate,
+        zone: Name::clone(&zone),
+        leaving: false,
+        backend: None,
+    };
+    let mut next = FleetSnapshot::clone(&snapshot.borrow());
+    let observed = ObservedInstance {
+        record: Rc::new(record.clone()),
+        revision: 1,
+        lapsed: None,
+        lapse_revision: 0,
+    };
+    next.instances.insert(Name::clone(&node), observed);
+    snapshot.send_replace(Rc::new(next));
+    let support = LocalSupport::new(
+        Name::clone(&node),
+        Name::clone(&zone),
+        Name::clone(&run),
+        Rc::clone(snapshot),
+    );
+    let member = Rc::new(LocalMember::new(
+        store(&node, lease, snapshot),
+        Rc::clone(snapshot),
+        Name::clone(&node),
+        Rc::new(move || record.clone()),
+        Rc::new(support),
+    ));
+    let metrics = Rc::new(EdgeMetrics::new());
+    let quota = Rc::new(LocalQuota::new(node, None));
+    quota.join(QuotaFleet {
+        zone,
+        run,
+        snapshot: Rc::clone(snapshot),
+        member: Rc::clone(&member),
+        metrics: Rc::clone(&metrics),
+    });
+    let lender = Rc::clone(&quota);
+    let listener = HttpListener::new(
+        Rc::new(move |request, _| {
+            assert_eq!(request.path(), QUOTA_PATH);
+            let response = lender.answer(&request);
+            Box::pin(async move { response })
+        }),
+        Rc::new(|| LIMITS),
+    );
+    listener
+        .serve(gate)
+        .await
+        .expect("failed to bind the port of an agent");
+    actix_rt::spawn(async move { member.run().await });
+    let claiming = Rc::clone(&quota);
+    actix_rt::spawn(async move { claiming.run().await });
+    Agent { quota, metrics }
+}
+
+/// Returns a tenant with a quota.
+fn tenant(name: &str, rate_per_s: f64, burst: f64) -> TenantRule {
+    TenantRule {
+        name: name.into(),
+        priority: None,
+        quota: Some(TenantQuota { rate_per_s, burst }),
+    }
+}
+
+/// Returns a snapshot with the configuration of tenants.
+fn snapshot_of(tenants: &[TenantRule]) -> FleetSnapshot {
+    let table = TenantTable::new();
+    let add = |table: TenantTable, rule: &TenantRule| table.with_tenant(rule.clone(), &[]);
+    let routes = RouteTable {
+        version: 1,
+        routes: Vec::new(),
+        services: BTreeMap::new(),
+        limits: CallerLimits {
+            head_bytes: 1024,
+            body_bytes: 1024,
+            read_ms: 1_000,
+            idle_ms: 1_000,
+        },
+        tenants: (!tenants.is_empty()).then(|| tenants.iter().fold(table, add)),
+    };
+    FleetSnapshot {
+        revision: 1,
+        routes: Some(Rc::new(routes)),
+        ..FleetSnapshot::default()
+    }
+}
+
+/// Asks for the credit of one request, for at most 200 ms.
+async fn acquire(agent: &Agent, tenant: &TenantRule) -> QuotaOutcome {
+    agent.quota.acquire(tenant, clock::now().plus(200)).await
+}
+
+/// Waits until all slots are held by agents whose names begin with `prefix`.
+///
+/// # Panics
+///
+/// Panics if this takes too long.
+async fn wait_for_holders(snapshot: &SnapshotSender, prefix: &str) {
+    let mut updates = snapshot.subscribe();
+    let held = updates.wait_for(|snapshot| {
+        let mut slots = snapshot.quota_slots.values();
+        snapshot.quota_slots.len() == 48 && slots.all(|slot| slot.record.node.starts_with(prefix))
+    });
+    let limit = Duration::from_millis(MAX_CLAIM_MS);
+    timeout(limit, held)
+        .await
+        .expect("the slots are claimed in time")
+        .expect("the sender lives");
+}
+
+/// Guards against credit that is not found at another agent, that is lent beyond the quota, or that is lost when the
+/// holder stops.
+#[gtest]
+fn acquire_from_other_agent_until_used_up() {
+    actix_rt::System::new().block_on(async {
+        let (busy, idle) = (tenant("busy", 100.0, 9.0), tenant("idle", 50.0, 30.0));
+        let rules = [busy.clone(), idle.clone()];
+        let snapshot: Rc<SnapshotSender> =
+            Rc::new(watch::Sender::new(Rc::new(snapshot_of(&rules))));
+        let agents = [
+            start("n-1", 11, &snapshot).await,
+            start("n-2", 12, &snapshot).await,
+        ];
+        wait_for_holders(&snapshot, "n-").await;
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+        // One of the agents holds the only part of the tenant.
+        let holders = |group| {
+            let snapshot = snapshot.borrow();
+            let slots = snapshot.quota_slots.iter();
+            let of_group = slots.filter(|(slot, _)| slot.group == group);
+            of_group
+                .map(|(_, slot)| Name::clone(&slot.record.node))
+                .collect::<Vec<_>>()
+        };
+        expect_that!(holders(group_of("busy")), contains(eq(&Name::from("n-1"))));
+        expect_that!(holders(group_of("busy")), contains(eq(&Name::from("n-2"))));
+        for agent in &agents {
+            let outcome = acquire(agent, &busy).await;
+            expect_that!(outcome, matches_pattern!(QuotaOutcome::Admitted(_)));
+            let outcome = acquire(agent, &idle).await;
+            expect_that!(outcome, matches_pattern!(QuotaOutcome::Admitted(_)));
+        }
+        let messages = agents
+            .iter()
+            .map(|agent| agent.metrics.quota_messages.get());
+        expect_that!(messages.sum::<u64>(), ge(1));
+        let mut admitted = 0;
+        let mut last = Vec::new();
+        for agent in &agents {
+            let outcome = loop {
+                let wait_until = clock::now();
+                match agent.quota.acquire(&busy, wait_until).await {
+                    QuotaOutcome::Admitted(_) if admitted < 1_000 => admitted += 1,
+                    outcome => break outcome,
+                }
+            };
+            last.push(outcome);
+        }
+        // The burst, and what accrues in half a second.
+        expect_that!(admitted, le(9 + 50));
+        expect_that!(
+            last,
+            contains(matches_pattern!(QuotaOutcome::Exceeded {
+                retry_ms: gt(&0)
+            }))
+        );
+        agents[1].quota.release().await;
+        wait_for_holders(&snapshot, "n-1").await;
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        let outcome = acquire(&agents[1], &idle).await;
+        expect_that!(outcome, matches_pattern!(QuotaOutcome::Admitted(_)));
+    });
+}
+
+/// Guards against slots that are claimed, and messages that are sent, without any tenant with a quota.
+#[gtest]
+fn run_without_quotas_writes_nothing() {
+    actix_rt::System::new().block_on(async {
+        let mut free = tenant("free", 1.0, 1.0);
+        free.quota = None;
+        for rules in [vec![], vec![free.clone()]] {
+            let snapshot: Rc<SnapshotSender> =
+                Rc::new(watch::Sender::new(Rc::new(snapshot_of(&rules))));
+            let agent = start("n-1", 11, &snapshot).await;
+            actix_rt::time::sleep(Duration::from_millis(1_500)).await;
+            expect_that!(snapshot.borrow().quota_slots.len(), eq(0));
+            let outcome = acquire(&agent, &free).await;
+            expect_that!(outcome, matches_pattern!(QuotaOutcome::Admitted(_)));
+            expect_that!(agent.metrics.quota_messages.get(), eq(0));
+        }
+    });
+}
