--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -56,7 +56,9 @@
 use crate::member::LocalMember;
 use crate::member::RecordFn;
 use crate::metrics::EdgeMetrics;
+use crate::quota;
 use crate::quota::LocalQuota;
+use crate::quota::QuotaFleet;
 use crate::range_manager::RangeManager;
 use crate::range_manager::RangeManagerParts;
 use crate::refusal;
@@ -91,6 +93,7 @@
     backend: SharedBackend,
     gate: Rc<LocalGate>,
     gateway: Rc<CallerGateway>,
+    quota: Rc<LocalQuota>,
     member: Rc<LocalMember>,
     support: Rc<LocalSupport>,
     metrics: Rc<EdgeMetrics>,
@@ -170,6 +173,7 @@
         );
         let gate = Rc::new(gate.with_memory(Rc::clone(&memory)));
         let operator_proof: Rc<Cell<Millis>> = Rc::default();
+        let quota = Rc::new(LocalQuota::new(Name::clone(&settings.name), bounds.quota));
         let gateway = Rc::new(CallerGateway::new(GatewayParts {
             node: Name::clone(&settings.name),
             zone: Name::clone(&settings.zone),
@@ -182,7 +186,7 @@
                 slack: bounds.retry_slack,
                 window_ms: bounds.retry_window_ms,
             },
-            quota: Rc::new(LocalQuota::new(Name::clone(&settings.name), bounds.quota)),
+            quota: Rc::clone(&quota),
             keys: KeyChecker::new(Rc::clone(&operator_proof), bounds.revoke_ms),
             metrics: Rc::clone(&metrics),
             refresh_requested: Rc::clone(&refresh_requested),
@@ -195,7 +199,7 @@
             Name::clone(&run),
             Rc::clone(&snapshot),
         ));
-        let record = record_builder(&settings, run, &backend, &is_shutting_down);
+        let record = record_builder(&settings, Name::clone(&run), &backend, &is_shutting_down);
         let leaving_backend = Rc::clone(&backend);
         let member = LocalMember::new(
             store,
@@ -211,6 +215,13 @@
                 holding_backend.is_restored(clock::now(), snapshot)
             }));
         let member = Rc::new(member);
+        quota.join(QuotaFleet {
+            zone: Name::clone(&settings.zone),
+            run,
+            snapshot: Rc::clone(&snapshot),
+            member: Rc::clone(&member),
+            metrics: Rc::clone(&metrics),
+        });
         let feed = Rc::new(watch::Sender::new(FeedState::default()));
         let relay = |part, proved_until| RelayedRecords {
             part,
@@ -227,6 +238,7 @@
             backend,
             gate,
             gateway,
+            quota,
             member,
             support,
             metrics,
@@ -248,6 +260,8 @@
         starter.start("fleet feed", async move { fleet.run().await });
         let member = Rc::clone(&self.member);
         starter.start("member", async move { member.run().await });
+        let quota = Rc::clone(&self.quota);
+        starter.start("quota", async move { quota.run().await });
         let support = Rc::clone(&self.support);
         starter.start("support", async move { support.run().await });
         let agent = Rc::clone(self);
@@ -416,7 +430,7 @@
             })
     }
 
-    /// Serves a request of another agent: for records, for support, or forwarded from a caller.
+    /// Serves a request of another agent: for records, for credit, for support, or forwarded from a caller.
     fn serve_peer(
         &self,
         request: HttpRequest,
@@ -444,12 +458,16 @@
         })
     }
 
-    /// Answers another agent's own request, by its path: for records, for the transfer of a body, or for support.
-    /// Returns `None` if it is none of these.
+    /// Answers another agent's own request, by its path: for records, for credit of a quota, for the
+    /// transfer of a body, or for support. Returns `None` if it is none of these.
     fn answer_peer(&self, request: &HttpRequest) -> Option<LocalBoxFuture<'static, HttpResponse>> {
         match request.path() {
             feed::FLEET_PATH => Some(Self::answer_relay(request, self.fleet.clone())),
             feed::OPERATOR_PATH => Some(Self::answer_relay(request, self.operator.clone())),
+            quota::QUOTA_PATH => {
+                let response = self.quota.answer(request);
+                Some(Box::pin(async move { response }))
+            }
             transfer::TRANSFER_PATH => Some(Box::pin(
                 Rc::clone(&self.gate).answer_transfer(request.clone()),
             )),
--- a/crates/edge/src/member.rs
+++ b/crates/edge/src/member.rs
@@ -13,6 +13,7 @@
 use jy_platform::store::StoreCommit;
 use jy_platform::store::StoreWrite;
 use jy_policy::outage;
+use jy_policy::quota::lender::LeaseTerm;
 use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
@@ -77,6 +78,8 @@
     restored: RestoredFn,
     changed: Notify,
     lease: Cell<GrantedLease>,
+    /// Time until which the lease is certain to be in force.
+    lease_until: Cell<Millis>,
     written: Cell<WrittenRecord>,
     authority: Cell<EraAuthority>,
 }
@@ -108,6 +111,7 @@
             restored: Rc::new(|_| true),
             changed: Notify::new(),
             lease: Cell::default(),
+            lease_until: Cell::new(Millis::default()),
             written: Cell::default(),
             authority: Cell::default(),
         }
@@ -143,6 +147,25 @@
         self.support.authorized_until(cap)
     }
 
+    /// Returns the lease of the agent's record, or `None` if there is none.
+    #[must_use]
+    pub fn lease_term(&self) -> Option<LeaseTerm> {
+        let lease = self.lease.get();
+        (lease.id != 0).then(|| LeaseTerm {
+            lease: lease.id,
+            until: self.lease_until.get(),
+        })
+    }
+
+    /// Applies a commit of further records under the lease.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call to the store fails; the commit may take effect later all the same.
+    pub async fn commit(&self, commit: &StoreCommit) -> Result<CommitOutcome> {
+        self.store.commit(commit).await
+    }
+
     /// Requests an immediate check of the record, since its contents have changed.
     pub fn request_update(&self) {
         self.changed.notify_one();
@@ -190,6 +213,7 @@
             // The record is written once the feed has read the store's records in the era of the lease.
             return Ok(false);
         }
+        self.lease_until.set(sent_at.plus(LEASE_MS));
         let status = self.record_status();
         if status == RecordStatus::Unconfirmed {
             return Ok(false);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -70,6 +70,18 @@
     pub gate_refused: Family<RefusalLabels, Counter>,
     /// Ranges of keys that the backend server owns.
     pub ranges: Gauge,
+    /// Requests of tenants with a quota that got credit.
+    pub quota_admitted: Counter,
+    /// Requests that were refused because their tenant's quota is used up.
+    pub quota_refused: Counter,
+    /// Requests that were refused because no holder of their tenant's quota could be reached.
+    pub quota_unreachable: Counter,
+    /// Credit that this agent lent, in requests, to itself included.
+    pub quota_lent: Counter,
+    /// Credit requests sent to other agents.
+    pub quota_messages: Counter,
+    /// Quota slots that this agent holds.
+    pub quota_slots: Gauge,
     /// Era of the store in which the agents' records were read.
     pub store_era: Gauge,
     /// Time for which claims are still held back after a new era began, in milliseconds.
@@ -129,11 +141,18 @@
             gate_waiting_late: Gauge::default(),
             gate_refused: Family::default(),
             ranges: Gauge::default(),
+            quota_admitted: Counter::default(),
+            quota_refused: Counter::default(),
+            quota_unreachable: Counter::default(),
+            quota_lent: Counter::default(),
+            quota_messages: Counter::default(),
+            quota_slots: Gauge::default(),
             store_era: Gauge::default(),
             held_back_ms: Gauge::default(),
             memory: MemoryMetrics::default(),
         };
         metrics.register();
+        metrics.register_quota();
         metrics
     }
 
@@ -259,6 +278,33 @@
         set(&self.memory.held_bound, bound.unwrap_or_default());
     }
 
+    /// Registers the metrics of quotas under their names and help texts.
+    fn register_quota(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "quota_admitted",
+            "Requests that got credit",
+            self.quota_admitted.clone(),
+        );
+        registry.register(
+            "quota_refused",
+            "Requests beyond a quota",
+            self.quota_refused.clone(),
+        );
+        registry.register(
+            "quota_unreachable",
+            "Requests without a lender",
+            self.quota_unreachable.clone(),
+        );
+        registry.register("quota_lent", "Credit lent", self.quota_lent.clone());
+        registry.register(
+            "quota_messages",
+            "Credit requests sent to other agents",
+            self.quota_messages.clone(),
+        );
+        registry.register("quota_slots", "Slots held", self.quota_slots.clone());
+    }
+
     /// Counts a request's outcome.
     pub fn count(&self, route: &str, outcome: &str) {
         let labels = OutcomeLabels {
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -16,6 +16,8 @@
 use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
+use jy_types::quota::SlotId;
+use jy_types::quota::SlotRecord;
 use jy_types::record::Record;
 use jy_types::routing::RouteTable;
 use jy_types::tenant::TenantTable;
@@ -23,6 +25,8 @@
 
 use crate::era::SETTLE_MS;
 use crate::feed::FeedPart;
+use crate::member::AUTHORITY_MARGIN_MS;
+use crate::member::LEASE_MS;
 
 /// Prefix of all records that agents write.
 pub const AGENT_RECORD_PREFIX: &str = "jy/";
@@ -32,9 +36,14 @@
 const WITNESS_PREFIX: &str = "jy/witness/";
 /// Prefix of the records of backend servers that leave.
 const LEAVING_PREFIX: &str = "jy/leaving/";
+/// Prefix of the records of the holders of quota slots.
+const QUOTA_SLOT_PREFIX: &str = "jy/quota/";
 /// Prefix of the tables of key ranges.
 const RANGES_PREFIX: &str = "jy/ranges/";
 
+/// Time from the first reading of a new era until all leases of earlier eras have ended, in milliseconds.
+const LEASE_END_MS: u64 = LEASE_MS + AUTHORITY_MARGIN_MS;
+
 /// Time for which requests are still sent to an instance whose record lapsed, in milliseconds: after a store
 /// outage, the records of live instances are back within 2 s.
 pub const LAPSE_GRACE_MS: u64 = 2_000;
@@ -87,6 +96,15 @@
     pub revision: u64,
 }
 
+/// The holder of a quota slot and the revision of its record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionedSlot {
+    /// The holder.
+    pub record: Rc<SlotRecord>,
+    /// The record's revision in the store.
+    pub revision: u64,
+}
+
 /// The records of the store as last read, in decoded form.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct FleetSnapshot {
@@ -108,6 +126,8 @@
     pub witnesses: BTreeMap<Name, VersionedWitnesses>,
     /// Backend servers that leave or have left, by the name of their instance.
     pub leaving: BTreeMap<Name, LeavingRecord>,
+    /// Holders of quota slots.
+    pub quota_slots: BTreeMap<SlotId, VersionedSlot>,
     /// Era of the store in which the records of agents were read.
     pub era: u64,
     /// Era of the store in which the records of operators were read.
@@ -139,6 +159,12 @@
     format!("{LEAVING_PREFIX}{node}").into()
 }
 
+/// Returns the key of the record of a quota slot's holder.
+#[must_use]
+pub fn quota_slot_key(slot: SlotId) -> Name {
+    format!("{QUOTA_SLOT_PREFIX}{slot}").into()
+}
+
 /// Returns the key of a service's key ranges.
 #[must_use]
 pub fn ranges_key(service: &str) -> Name {
@@ -177,6 +203,13 @@
         now >= self.settled_at
     }
 
+    /// Returns when all leases that earlier eras of the store granted have ended; zero if the store has not come back
+    /// from an older copy.
+    #[must_use]
+    pub const fn leases_ended_at(&self) -> Millis {
+        self.settled_at.minus(SETTLE_MS - LEASE_END_MS)
+    }
+
     /// Returns the key ranges of a service; those of an earlier era if the store has lost the table.
     #[must_use]
     pub fn table(&self, service: &str) -> Option<&RangeTable> {
@@ -249,6 +282,7 @@
         for versioned in self.witnesses.values_mut() {
             versioned.revision = 0;
         }
+        self.quota_slots.clear();
         for (service, versioned) in std::mem::take(&mut self.ranges) {
             let is_known = self.earlier_ranges.contains_key(&service);
             if !is_known || !versioned.table.is_incomplete() {
@@ -358,6 +392,8 @@
             self.apply_witnesses(node, record);
         } else if let Some(node) = record.key.strip_prefix(LEAVING_PREFIX) {
             self.apply_leaving(node, record);
+        } else if let Some(slot) = record.key.strip_prefix(QUOTA_SLOT_PREFIX) {
+            self.apply_quota_slot(slot, record);
         }
     }
 
@@ -497,6 +533,31 @@
         }
     }
 
+    /// Applies the record of a quota slot's holder, or its deletion.
+    fn apply_quota_slot(&mut self, slot: &str, record: &Record) {
+        let Ok(slot) = slot.parse::<SlotId>() else {
+            log::warn!("{} names no quota slot; record ignored", record.key);
+            return;
+        };
+        let Some(value) = &record.value else {
+            self.quota_slots.remove(&slot);
+            return;
+        };
+        match serde_json::from_str::<SlotRecord>(value) {
+            Ok(holder) => {
+                let versioned = VersionedSlot {
+                    record: Rc::new(holder),
+                    revision: record.revision,
+                };
+                self.quota_slots.insert(slot, versioned);
+            }
+            Err(error) => {
+                log::warn!("invalid {}: {error}; the slot counts as free", record.key);
+                self.quota_slots.remove(&slot);
+            }
+        }
+    }
+
     /// Removes instances whose records lapsed long ago.
     fn remove_lapsed(&mut self, now: Millis) {
         let is_kept = |observed: &ObservedInstance| {
--- a/crates/edge/tests/test_era.rs
+++ b/crates/edge/tests/test_era.rs
@@ -18,9 +18,11 @@
 use jy_edge::feed::SnapshotSender;
 use jy_edge::feed::answer_relay;
 use jy_edge::feed::relay_query;
+use jy_edge::member::LEASE_MS;
 use jy_edge::snapshot::FleetSnapshot;
 use jy_edge::snapshot::instance_key;
 use jy_edge::snapshot::leaving_key;
+use jy_edge::snapshot::quota_slot_key;
 use jy_edge::snapshot::ranges_key;
 use jy_feed::replica::RecordReplica;
 use jy_http::pool::ConnectionPool;
@@ -33,6 +35,8 @@
 use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
+use jy_types::quota::SlotId;
+use jy_types::quota::SlotRecord;
 use jy_types::record::Record;
 use jy_types::record::RecordBatch;
 use jy_types::time::Millis;
@@ -139,6 +143,32 @@
     );
 }
 
+/// Guards against holders of quota slots that go on by records that the copy lacks, and against claims of their slots
+/// while they may still lend.
+#[gtest]
+fn with_era_forgets_holders_until_leases_have_ended() {
+    let slot = SlotId { part: 1, group: 7 };
+    let holder = SlotRecord {
+        node: "n".into(),
+        run: "run".into(),
+        lease: 5,
+    };
+    let text = serde_json::to_string(&holder).expect("a slot's record can be encoded");
+    let held = record(quota_slot_key(slot), 49, Some(text));
+    let first = apply_list(Default::default(), 10, 3, vec![instance(50), held], 50);
+    expect_that!(first.1.quota_slots.contains_key(&slot), eq(true));
+    expect_that!(first.1.leases_ended_at(), eq(Millis::default()));
+    let (_, snapshot) = apply_list(first, 100_000, 4, vec![instance(30)], 40);
+    expect_that!(snapshot.quota_slots.is_empty(), eq(true));
+    expect_that!(
+        snapshot.leases_ended_at(),
+        all![
+            ge(Millis(100_000).plus(LEASE_MS)),
+            lt(snapshot.era_settled_at())
+        ]
+    );
+}
+
 /// Guards against a lower version of the configuration that the copy has, and against records of the copy that are not
 /// applied since their revisions are lower.
 #[gtest]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`offered`]: measurement of offered work and overload.
 //! - [`outage`]: calls to a store that does not answer.
 //! - [`places`]: when refused callers are to return.
+//! - [`quota`]: quotas of tenants, as credit that agents lend to each other.
 //! - [`service_time`]: moving mean of service times.
 //! - [`settling`]: completeness of a starting fleet.
 //! - [`shares`]: shares of tenants in one backend server, and protection of less urgent ones.
@@ -35,6 +36,7 @@
 pub mod offered;
 pub mod outage;
 pub mod places;
+pub mod quota;
 pub mod service_time;
 pub mod settling;
 pub mod shares;
