edge: repeat the release of slots until no record is left

If that commit failed or conflicted, or a claim was being applied, the records stayed until the lease ended, while the agent answered not-holder.

The loop that claims slots now deletes the records that are left while the agent stops, at each update and after 100 ms.

--- a/crates/edge/src/quota.rs
+++ b/crates/edge/src/quota.rs
@@ -35,6 +35,7 @@
 use jy_types::routing::RouteTable;
 use jy_types::tenant::TenantRule;
 use jy_types::time::Millis;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -116,6 +117,8 @@
     skipped: RefCell<SkippedHolders>,
     pool: ConnectionPool,
     is_releasing: Cell<bool>,
+    /// Has [`LocalQuota::run`] delete the records that are left.
+    release_requested: Notify,
 }
 
 /// The account of a tenant and the requests that wait for its credit, in order of arrival.
@@ -187,6 +190,7 @@
             skipped: RefCell::default(),
             pool: ConnectionPool::new(),
             is_releasing: Cell::new(false),
+            release_requested: Notify::new(),
         };
         Self {
             state: Rc::new(state),
--- a/crates/edge/src/quota/claims.rs
+++ b/crates/edge/src/quota/claims.rs
@@ -65,7 +65,9 @@
             self.state.refresh_book();
             let has_quotas = self.state.book.borrow().has_quotas();
             let mut is_complete = true;
-            if has_quotas && !self.state.is_releasing.get() {
+            if self.state.is_releasing.get() {
+                is_complete = self.state.release_own(fleet).await;
+            } else if has_quotas {
                 self.state.hold_claimed(fleet, &mut claimer.rng);
                 let claims = self.state.plan_claims(fleet, &mut claimer);
                 if !claims.is_empty() {
@@ -75,7 +77,10 @@
             }
             if is_complete {
                 // The sender lives as long as the agent.
-                let _is_changed = updates.changed().await;
+                tokio::select! {
+                    _ = updates.changed() => {}
+                    () = self.state.release_requested.notified() => {}
+                }
             } else {
                 let interval = Duration::from_millis(CLAIM_INTERVAL_MS);
                 let _is_changed = timeout(interval, updates.changed()).await;
@@ -83,7 +88,8 @@
         }
     }
 
-    /// Stops to lend and deletes the records of the agent's slots, so that other agents claim them at once.
+    /// Stops to lend and deletes the records of the agent's slots, so that other agents claim them at once. Records that
+    /// are left, since a commit failed or a claim was under way, are deleted by [`Self::run`].
     pub async fn release(&self) {
         self.state.is_releasing.set(true);
         let Some(fleet) = self.state.fleet.get() else {
@@ -91,10 +97,17 @@
         };
         self.state.lender.borrow_mut().retain(|_, _| false);
         fleet.metrics.quota_slots.set(0);
+        self.state.release_own(fleet).await;
+        self.state.release_requested.notify_one();
+    }
+}
+
+impl QuotaState {
+    /// Deletes the records of this run's slots that are in the snapshot. Returns whether none is left there.
+    async fn release_own(&self, fleet: &QuotaFleet) -> bool {
         let held: Vec<SlotClaim> = {
             let snapshot = fleet.snapshot.borrow();
-            let is_own =
-                |record: &SlotRecord| record.node == self.state.node && record.run == fleet.run;
+            let is_own = |record: &SlotRecord| record.node == self.node && record.run == fleet.run;
             let slots = snapshot.quota_slots.iter();
             let own = slots.filter(|(_, slot)| is_own(&slot.record));
             own.map(|(slot, versioned)| (*slot, versioned.revision))
@@ -116,10 +129,9 @@
                 names(slots)
             );
         }
+        held.is_empty()
     }
-}
 
-impl QuotaState {
     /// Takes over the slots whose records were written by this run under its present lease, and gives up all
     /// others.
     fn hold_claimed(&self, fleet: &QuotaFleet, rng: &mut SmallRng) {
--- a/crates/edge/tests/test_quota.rs
+++ b/crates/edge/tests/test_quota.rs
@@ -1,5 +1,6 @@
 //! Tests of the credit that agents lend each other over real connections, and of the claims of slots.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -46,6 +47,11 @@
 /// Time within which all slots are claimed, in milliseconds.
 const MAX_CLAIM_MS: u64 = 4_000;
 
+thread_local! {
+    /// Whether the store answers commits with 503.
+    static REFUSES_COMMITS: Cell<bool> = const { Cell::new(false) };
+}
+
 /// An agent that lends and borrows.
 struct Agent {
     quota: Rc<LocalQuota>,
@@ -56,7 +62,10 @@
 fn store(node: &Name, lease: u64, snapshot: &Rc<SnapshotSender>) -> StoreClient {
     let (node, snapshot) = (Name::clone(node), Rc::clone(snapshot));
     StoreClient::with_call(Rc::new(move |request: HttpRequest, _| {
-        let reply = if request.path() == "/kv-txn" {
+        let is_commit = request.path() == "/kv-txn";
+        let reply = if is_commit && REFUSES_COMMITS.get() {
+            (503, String::new())
+        } else if is_commit {
             commit(&node, lease, &snapshot, &request.body)
         } else {
             (200, format!("{{\"lease\":{lease}}}"))
@@ -321,3 +330,21 @@
         }
     });
 }
+
+/// Guards against records that stay until the lease ends after the store failed once at the release.
+#[gtest]
+fn release_after_failed_commit_is_repeated() {
+    actix_rt::System::new().block_on(async {
+        let busy = tenant("busy", 50.0, 9.0);
+        let snapshot: Rc<SnapshotSender> =
+            Rc::new(watch::Sender::new(Rc::new(snapshot_of(&[busy]))));
+        let agent = start("n-1", 11, &snapshot).await;
+        wait_for_holders(&snapshot, "n-1").await;
+        let _other = start("n-2", 12, &snapshot).await;
+        REFUSES_COMMITS.set(true);
+        agent.quota.release().await;
+        expect_that!(snapshot.borrow().quota_slots.len(), eq(48));
+        REFUSES_COMMITS.set(false);
+        wait_for_holders(&snapshot, "n-2").await;
+    });
+}
