quota: return credit that arrives for requests that no longer wait

Credit that came with a reply after 20 ms, when a second holder had lent it already, or after the request had given up, stayed at the borrower until it expired, because surplus was returned only after a refund.

After a reply, the account now plans the return of what exceeds the expected use and what was requested ahead, if nothing waits. The same task as after a refund returns it 50 ms later.

--- a/crates/edge/src/quota.rs
+++ b/crates/edge/src/quota.rs
@@ -162,10 +162,7 @@
             is_due
         };
         if is_return_due {
-            actix_rt::spawn(async move {
-                sleep(Duration::from_millis(RETURN_DELAY_MS)).await;
-                state.start_asking(&tenant);
-            });
+            state.spawn_return(&tenant);
         }
     }
 }
@@ -403,6 +400,15 @@
         }
     }
 
+    /// Starts the task that returns surplus credit after a delay.
+    fn spawn_return(self: &Rc<Self>, tenant: &Name) {
+        let (state, tenant) = (Rc::clone(self), Name::clone(tenant));
+        actix_rt::spawn(async move {
+            sleep(Duration::from_millis(RETURN_DELAY_MS)).await;
+            state.start_asking(&tenant);
+        });
+    }
+
     /// Requests credit for a tenant, from one holder after the other, until no request waits for it.
     async fn ask_holders(self: &Rc<Self>, tenant: &Name) {
         while let Some(step) = self.next_step(tenant) {
@@ -497,6 +503,16 @@
                 skipped.skip_silent(now, &holder.run);
             }
         }
+        let is_return_due = {
+            let mut accounts = self.accounts.borrow_mut();
+            accounts.get_mut(tenant).is_some_and(|open| {
+                open.waiters.retain(|waiter| !waiter.outcome.is_closed());
+                open.waiters.is_empty() && open.account.plan_surplus_return(now, &request)
+            })
+        };
+        if is_return_due {
+            self.spawn_return(tenant);
+        }
     }
 
     /// Applies a holder's reply to an account.
--- a/crates/policy/src/quota/account.rs
+++ b/crates/policy/src/quota/account.rs
@@ -101,7 +101,7 @@
     /// Number of requests, of which those longer ago count less.
     arrivals: f64,
     arrivals_at: Millis,
-    /// Time at which surplus credit is returned; `None` if no request was refused since the last return.
+    /// Time at which surplus credit is returned; `None` if there was no surplus since the last return.
     return_at: Option<Millis>,
     /// Requests refused since `refused_until` was set, for which the end of the wait is the same.
     refusals: u64,
@@ -170,6 +170,21 @@
             return false;
         }
         self.add_loan(tag, 1);
+        self.plan_return(now)
+    }
+
+    /// Plans the return of credit that arrived for requests that no longer wait, since another holder lent it meanwhile
+    /// or they gave up. To be called when the reply to `request` has been applied and no request waits. Returns whether
+    /// [`Self::next_step`] is to be called after [`RETURN_DELAY_MS`].
+    pub fn plan_surplus_return(&mut self, now: Millis, request: &CreditRequest) -> bool {
+        let ahead = request.wanted.saturating_sub(request.needed);
+        let is_surplus = self.left(now) > self.expected_use(now).max(ahead);
+        // A request ahead asks for no more than is missing, so that its credit is no surplus.
+        request.needed > 0 && is_surplus && self.plan_return(now)
+    }
+
+    /// Plans the return of surplus credit. Returns whether it was not planned before.
+    fn plan_return(&mut self, now: Millis) -> bool {
         let is_planned = self.return_at.is_some_and(|return_at| now < return_at);
         if !is_planned {
             self.return_at = Some(now.plus(RETURN_DELAY_MS));
--- a/crates/policy/tests/test_quota.rs
+++ b/crates/policy/tests/test_quota.rs
@@ -4,6 +4,8 @@
 use jy_policy::quota::QuotaAllowance;
 use jy_policy::quota::QuotaTerms;
 use jy_policy::quota::SharedBook;
+use jy_policy::quota::account::AccountStep;
+use jy_policy::quota::account::PartView;
 use jy_policy::quota::account::TenantAccount;
 use jy_policy::quota::bucket::CreditBucket;
 use jy_policy::quota::lender::CreditLender;
@@ -420,3 +422,48 @@
     bucket.take_back(Millis(200_000), second.period, depth);
     expect_that!(bucket.lend(Millis(200_000), depth, depth).lent, eq(0));
 }
+
+/// Guards against credit that is kept until it expires if a slow holder's reply arrives after another holder has lent
+/// the credit.
+#[gtest]
+fn plan_surplus_return_after_late_reply() {
+    let quota = TenantQuota {
+        rate_per_s: 20.0,
+        burst: 12.0,
+    };
+    let terms = QuotaTerms::new("t", quota, QuotaAllowance::default());
+    let mut account = TenantAccount::new(1, terms);
+    let views = [0, 1, 2].map(|part| PartView {
+        part,
+        is_reachable: true,
+        is_same_zone: part == 0,
+    });
+    let tenant: Name = "t".into();
+    let at = |ms: u64| Millis(100_000 + ms);
+    let grant = CreditGrant {
+        version: 1,
+        lent: 1,
+        valid_ms: terms.valid_ms,
+        stamp: 7,
+        wait_ms: 0,
+        spacing_ms: 150,
+    };
+    account.record_arrival(at(0));
+    let slow = account.request(at(0), &tenant, 0, 1);
+    let second = account.request(at(20), &tenant, 1, 1);
+    account.apply(at(22), at(20), &second, &grant);
+    expect_that!(account.take(at(22)), some(anything()));
+    expect_that!(account.plan_surplus_return(at(22), &second), eq(false));
+    account.apply(at(30), at(0), &slow, &grant);
+    expect_that!(account.plan_surplus_return(at(30), &slow), eq(true));
+    expect_that!(account.next_step(at(30), 0, &views), eq(AccountStep::Idle));
+    expect_that!(
+        account.next_step(at(80), 0, &views),
+        eq(AccountStep::Ask(0))
+    );
+    let returned = account.request(at(80), &tenant, 0, 0).returned;
+    expect_that!(
+        returned.iter().map(|credit| credit.amount).sum::<u32>(),
+        eq(1)
+    );
+}
