gateway: count the wait for credit from the present time

The wait of 1/8 of the objective counted from the arrival of the request. An agent that was throttled for that long before it asked for credit refused without waiting.

The wait now begins when credit is requested, and ends at the deadline at the latest.

--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -350,7 +350,8 @@
         // The objective of a returning caller may be over, and its credit is not: the share is of a first attempt's.
         let left_ms = call.job.deadline.since(call.received_at);
         let wait_ms = call.rule.objective_ms.min(left_ms) as f64 * MAX_CREDIT_WAIT_SHARE;
-        let wait_until = call.received_at.plus(wait_ms as u64);
+        // The wait begins now, since an agent without processor time may have held the request for longer before it.
+        let wait_until = clock::now().plus(wait_ms as u64).min(call.job.deadline);
         match self.quota.acquire(&tenant, wait_until).await {
             QuotaOutcome::Admitted(credit) => {
                 call.credit = Some(credit);
