quota: admit requests that wait while their quota is removed

A configuration that removes a tenant's quota removes its account, and the requests that waited there were refused with 503. They are now admitted without credit if the tenant still exists and has no quota.

--- a/crates/edge/src/quota.rs
+++ b/crates/edge/src/quota.rs
@@ -210,8 +210,7 @@
                 let wait = Duration::from_millis(wait_until.since(clock::now()));
                 match timeout(wait, receiver).await {
                     Ok(Ok(outcome)) => outcome,
-                    // The tenant was removed from the configuration.
-                    Ok(Err(_)) => UNREACHABLE,
+                    Ok(Err(_)) => state.outcome_without_account(&tenant.name),
                     Err(_) => state.refuse_late(&tenant.name),
                 }
             }
@@ -354,7 +353,7 @@
     /// Returns the outcome of a request that waited for credit for as long as it may.
     fn refuse_late(&self, tenant: &Name) -> QuotaOutcome {
         let Some((fleet, (_, terms))) = self.fleet.get().zip(self.terms(tenant)) else {
-            return UNREACHABLE;
+            return self.outcome_without_account(tenant);
         };
         let now = clock::now();
         let views = self.part_views(now, &fleet.snapshot.borrow(), &terms);
@@ -374,6 +373,14 @@
         }
     }
 
+    /// Returns the outcome of a request whose account was removed while it waited, with the tenant or with its quota.
+    fn outcome_without_account(&self, tenant: &Name) -> QuotaOutcome {
+        match self.book.borrow().terms.get(tenant) {
+            Some(None) => QuotaOutcome::Admitted(QuotaCredit { origin: None }),
+            _ => UNREACHABLE,
+        }
+    }
+
     /// Returns the credit of one request.
     fn credit(self: &Rc<Self>, tenant: &Name, tag: CreditTag) -> QuotaCredit {
         QuotaCredit {
--- a/crates/edge/tests/test_quota.rs
+++ b/crates/edge/tests/test_quota.rs
@@ -348,3 +348,28 @@
         wait_for_holders(&snapshot, "n-2").await;
     });
 }
+
+/// Guards against requests that are refused because the quota that they wait for is removed.
+#[gtest]
+fn acquire_waits_while_quota_is_removed() {
+    actix_rt::System::new().block_on(async {
+        let slow = tenant("slow", 1.0, 1.0);
+        let snapshot: Rc<SnapshotSender> =
+            Rc::new(watch::Sender::new(Rc::new(snapshot_of(&[slow.clone()]))));
+        let agent = start("n-1", 11, &snapshot).await;
+        wait_for_holders(&snapshot, "n-").await;
+        while let QuotaOutcome::Admitted(_) = agent.quota.acquire(&slow, clock::now()).await {}
+        let mut free = slow.clone();
+        free.quota = None;
+        let mut next = FleetSnapshot::clone(&snapshot.borrow());
+        next.routes = snapshot_of(&[free]).routes;
+        let updated = Rc::clone(&snapshot);
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(Duration::from_millis(100)).await;
+            updated.send_replace(Rc::new(next));
+        });
+        let outcome = agent.quota.acquire(&slow, clock::now().plus(3_000)).await;
+        expect_that!(outcome, matches_pattern!(QuotaOutcome::Admitted(_)));
+        expect_that!(format!("{outcome:?}"), contains_substring("tag: None"));
+    });
+}
