--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -360,7 +360,7 @@
             QuotaOutcome::Exceeded { retry_ms } => {
                 let reason = "the tenant's quota is used up";
                 let now = clock::now();
-                let response = refusal::over_quota(reason, retry_ms, now, call.job.deadline);
+                let response = refusal::over_quota(reason, retry_ms);
                 self.record_outcome(now, call, &response, "over-quota");
                 Err(response)
             }
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -12,28 +12,22 @@
 /// Builds the response to a request that has not run and will not run, with a `Retry-After` header.
 #[must_use]
 pub fn not_run(reason: &str, retry_ms: u64, now: Millis, deadline: Millis) -> HttpResponse {
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    with_retry(status, reason, retry_ms, now, deadline)
+    let max_retry_ms = (deadline.since(now) as f64 * MAX_RETRY_SHARE) as u64;
+    let retry_ms = retry_ms.max(MIN_RETRY_MS).min(max_retry_ms);
+    with_retry(StatusCode::SERVICE_UNAVAILABLE, reason, retry_ms)
 }
 
 /// Builds the response to a request that exceeds the quota of its tenant and has not run, with a `Retry-After`
-/// header.
+/// header. The delay is not limited to a share of the time left: there is no credit before, and requests refused
+/// together would all come back at once.
 #[must_use]
-pub fn over_quota(reason: &str, retry_ms: u64, now: Millis, deadline: Millis) -> HttpResponse {
-    let status = StatusCode::TOO_MANY_REQUESTS;
-    with_retry(status, reason, retry_ms, now, deadline)
+pub fn over_quota(reason: &str, retry_ms: u64) -> HttpResponse {
+    let retry_ms = retry_ms.max(MIN_RETRY_MS);
+    with_retry(StatusCode::TOO_MANY_REQUESTS, reason, retry_ms)
 }
 
 /// Builds the response to a request that was not run, with a `Retry-After` header.
-fn with_retry(
-    status: StatusCode,
-    reason: &str,
-    retry_ms: u64,
-    now: Millis,
-    deadline: Millis,
-) -> HttpResponse {
-    let max_retry_ms = (deadline.since(now) as f64 * MAX_RETRY_SHARE) as u64;
-    let retry_ms = retry_ms.max(MIN_RETRY_MS).min(max_retry_ms);
+fn with_retry(status: StatusCode, reason: &str, retry_ms: u64) -> HttpResponse {
     let seconds = format!("{:.3}", retry_ms as f64 / 1_000.0);
     problem(status, reason, "no").with_header("retry-after", &seconds)
 }
