--- a/crates/edge/src/keys.rs
+++ b/crates/edge/src/keys.rs
@@ -35,6 +35,8 @@
     UnknownKey,
     /// The configuration may be too old to tell whether a tenant holds the key.
     Outdated,
+    /// The name of the tenant that holds the key can't be sent to backend servers.
+    UnsendableTenant,
 }
 
 /// The key of a request that may run.
@@ -67,6 +69,7 @@
             Self::RepeatedHeader => "repeated-authorization",
             Self::UnknownKey => "unknown-api-key",
             Self::Outdated => "configuration-outdated",
+            Self::UnsendableTenant => "unsendable-tenant",
         }
     }
 
@@ -82,6 +85,10 @@
                 let reason = "the configuration may be too old to check the API key";
                 return refusal::not_run(reason, NEXT_PROOF_RETRY_MS, now, deadline);
             }
+            Self::UnsendableTenant => {
+                let reason = "the name of the tenant can't be sent to backend servers";
+                return refusal::rejected(StatusCode::SERVICE_UNAVAILABLE, reason);
+            }
         };
         refusal::rejected(StatusCode::UNAUTHORIZED, reason)
             .with_header("www-authenticate", headers::API_KEY_SCHEME)
@@ -128,6 +135,11 @@
         };
         let known = hash.and_then(|hash| Some((hash, tenants.find_by_hash(hash)?)));
         match (self.age().decide(now, known.is_some()), known) {
+            (KeyDecision::Allowed { .. }, Some((_, tenant)))
+                if !headers::is_sendable_tenant(&tenant.name) =>
+            {
+                Err(KeyRefusal::UnsendableTenant)
+            }
             (KeyDecision::Allowed { valid_until }, Some((hash, tenant))) => Ok(Some(CheckedKey {
                 hash,
                 tenant: tenant.clone(),
--- a/crates/edge/tests/test_keys.rs
+++ b/crates/edge/tests/test_keys.rs
@@ -354,6 +354,21 @@
     });
 }
 
+/// Guards against requests that reach the backend server under another tenant's name or without any.
+#[gtest]
+fn serve_tenant_with_unsendable_name_is_refused() {
+    actix_rt::System::new().block_on(async {
+        let tenants = r#"[["gold ",["zq5secret-1"],0],["go\nld",["zq5secret-2"],0],["gold",["zq5secret-3"],0]]"#;
+        let rig = rig(Some(tenants), 0, || None).await;
+        for (api_key, status) in [("1", 503), ("2", 503), ("3", 200)] {
+            let value = format!("Token zq5secret-{api_key}");
+            let fields = [("authorization", value.as_str())];
+            expect_that!(rig.status("/p/x", &fields).await, eq(status), "{api_key}");
+        }
+        expect_that!(rig.tenants(), eq(&[Some("gold".into())]));
+    });
+}
+
 /// Guards against deployments without tenants that lose headers.
 #[gtest]
 fn serve_without_tenants_passes_headers() {
