config: reject revoke_ms below 2,000

Agents work with a proof of up to 1,300 ms while the store is in reach, and refuse keys 500 ms before the end of the period. A shorter revoke_ms would refuse valid keys.

Test: parse_revoke_ms_that_is_too_short_is_rejected of jy-config fails before (accepted) and passes now; jy-config: 19 passed.

--- a/crates/config/src/edge.rs
+++ b/crates/config/src/edge.rs
@@ -28,6 +28,10 @@
 const DEFAULT_MEMORY_MB: f64 = 160.0;
 const MAX_RETRY_SLACK: f64 = 1_000_000.0;
 const MAX_QUOTA_SLACK: f64 = 1_000_000.0;
+/// Shortest time within which withdrawn API keys can be refused everywhere without refusing valid ones, in milliseconds:
+/// the oldest proof with which agents work while the store is in reach, 1,300 ms, and the margin of 500 ms.
+const MIN_REVOKE_MS: u64 = 2_000;
+const MAX_REVOKE_MS: u64 = 600_000;
 /// Minimum number of announcements per grant of keys, so that the keys survive one lost announcement.
 const MIN_ANNOUNCEMENTS_PER_GRANT: u64 = 2;
 
@@ -197,7 +201,7 @@
     let ratio = object.required("retry_ratio", log, reader::number(0.0, 10.0));
     let slack = object.required("retry_slack", log, reader::number(0.0, MAX_RETRY_SLACK));
     let window = object.required("retry_window_s", log, reader::number(0.1, 600.0));
-    let revoke = object.optional("revoke_ms", log, reader::number(1.0, 600_000.0));
+    let revoke = object.optional("revoke_ms", log, read_revoke);
     let quota = object.optional("quota", log, read_quota);
     object.finish(log);
     let bounds = EdgeBounds {
@@ -208,7 +212,7 @@
         retry_ratio: ratio?,
         retry_slack: slack?,
         retry_window_ms: (window? * 1_000.0) as u64,
-        revoke_ms: revoke.map(|revoke_ms| revoke_ms as u64),
+        revoke_ms: revoke,
         quota,
     };
     let min_grant_ms = bounds.announce_every_ms * MIN_ANNOUNCEMENTS_PER_GRANT;
@@ -224,6 +228,20 @@
     Some(bounds)
 }
 
+/// Reads the time within which withdrawn API keys must be refused, in milliseconds.
+fn read_revoke(node: &TreeNode, log: &mut FindingLog) -> Option<u64> {
+    let revoke_ms = reader::number(0.0, MAX_REVOKE_MS as f64)(node, log)? as u64;
+    if revoke_ms < MIN_REVOKE_MS {
+        let message = format!(
+            "\"revoke_ms\" of {revoke_ms} is shorter than the time in which agents learn of a withdrawn key"
+        );
+        let hint = format!("use a number from {MIN_REVOKE_MS} to {MAX_REVOKE_MS}, or leave it out");
+        log.reject(node, message, hint);
+        return None;
+    }
+    Some(revoke_ms)
+}
+
 /// Reads the bounds on the requests of tenants beyond their quotas.
 fn read_quota(node: &TreeNode, log: &mut FindingLog) -> Option<QuotaBounds> {
     let mut object = ObjectReader::new("\"quota\"", node, log)?;
--- a/crates/config/tests/test_edge.rs
+++ b/crates/config/tests/test_edge.rs
@@ -87,3 +87,21 @@
     expect_that!(settings.bounds.revoke_ms, some(eq(5_000)));
     expect_that!(settings.bounds.quota.is_some(), eq(true));
 }
+
+/// Guards against a time to refuse withdrawn keys that agents can't keep without refusing valid keys.
+#[gtest]
+fn parse_revoke_ms_that_is_too_short_is_rejected() {
+    for (revoke_ms, is_accepted) in [("1", false), ("1999", false), ("2000", true)] {
+        let fields = [
+            ("bounds.revoke_strict", "true"),
+            ("bounds.revoke_ms", revoke_ms),
+        ];
+        let result = edge::parse("e", &render(&fields));
+        expect_that!(result.is_ok(), eq(is_accepted), "{revoke_ms}");
+        if let Err(error) = result {
+            let text = error.to_string();
+            expect_that!(text, contains_substring("revoke_ms"));
+            expect_that!(text, contains_substring("use a number from 2000 to 600000"));
+        }
+    }
+}
