--- a/crates/edge/src/quota.rs
+++ b/crates/edge/src/quota.rs
@@ -313,7 +313,7 @@
             let snapshot = Rc::clone(&fleet.snapshot.borrow());
             let views = self.part_views(now, &snapshot, &terms);
             let step = open.account.next_step(now, waiting, &views);
-            // A task that is asking another holder does not delay credit of this agent's own slots.
+            // Credit of this agent's own slots needs no task, but a reply of another holder that is due is awaited first.
             let AccountStep::Ask(part) = step else {
                 break step;
             };
--- a/crates/edge/src/quota/claims.rs
+++ b/crates/edge/src/quota/claims.rs
@@ -50,7 +50,8 @@
 }
 
 impl LocalQuota {
-    /// Claims free slots while the configuration has a tenant with a quota. Never returns.
+    /// Claims free slots while the configuration has a tenant with a quota. Once the agent stops, deletes the records of
+    /// its slots that are left. Never returns.
     pub async fn run(&self) {
         let Some(fleet) = self.state.fleet.get() else {
             return std::future::pending().await;
--- a/crates/edge/tests/test_quota.rs
+++ b/crates/edge/tests/test_quota.rs
@@ -354,8 +354,9 @@
 fn acquire_waits_while_quota_is_removed() {
     actix_rt::System::new().block_on(async {
         let slow = tenant("slow", 1.0, 1.0);
-        let snapshot: Rc<SnapshotSender> =
-            Rc::new(watch::Sender::new(Rc::new(snapshot_of(&[slow.clone()]))));
+        let snapshot: Rc<SnapshotSender> = Rc::new(watch::Sender::new(Rc::new(snapshot_of(
+            std::slice::from_ref(&slow),
+        ))));
         let agent = start("n-1", 11, &snapshot).await;
         wait_for_holders(&snapshot, "n-").await;
         while let QuotaOutcome::Admitted(_) = agent.quota.acquire(&slow, clock::now()).await {}
