edge: test the wait for credit of a request that was held up

Test: serve_late_request_waits_for_credit of jy-edge fails with the wait counted from the arrival (Unavailable) and passes with that from the present time; test_quota: 5 passed.

--- a/crates/edge/tests/test_quota.rs
+++ b/crates/edge/tests/test_quota.rs
@@ -5,10 +5,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::Method;
 use bytes::Bytes;
 use googletest::prelude::*;
+use jy_edge::backend::LocalBackend;
 use jy_edge::feed::FeedPart;
 use jy_edge::feed::SnapshotSender;
+use jy_edge::gate::LocalGate;
+use jy_edge::gateway::CallerGateway;
+use jy_edge::gateway::GatewayParts;
+use jy_edge::keys::KeyChecker;
 use jy_edge::member::LocalMember;
 use jy_edge::metrics::EdgeMetrics;
 use jy_edge::quota::LocalQuota;
@@ -24,17 +30,22 @@
 use jy_kernel::clock;
 use jy_platform::store::StoreAnswer;
 use jy_platform::store::StoreClient;
+use jy_policy::budget::BudgetLimits;
 use jy_policy::quota::group_of;
 use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
 use jy_types::quota::SlotRecord;
 use jy_types::record::Record;
 use jy_types::routing::CallerLimits;
+use jy_types::routing::RouteRule;
 use jy_types::routing::RouteTable;
+use jy_types::routing::RouteTarget;
 use jy_types::tenant::TenantQuota;
 use jy_types::tenant::TenantRule;
 use jy_types::tenant::TenantTable;
+use jy_types::time::Millis;
 use serde_json::Value;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -374,3 +385,76 @@
         expect_that!(format!("{outcome:?}"), contains_substring("tag: None"));
     });
 }
+
+/// Builds the gateway of an agent without a backend server.
+fn gateway(agent: &Agent, snapshot: &Rc<SnapshotSender>) -> Rc<CallerGateway> {
+    let backend = LocalBackend::new("n-1".into(), Millis(0), 10_000, 1_000);
+    let gate = LocalGate::new(
+        "z".into(),
+        ([127, 0, 0, 1], 9).into(),
+        Rc::new(backend),
+        Rc::clone(snapshot),
+        Rc::clone(&agent.metrics),
+        1_250.0,
+    );
+    Rc::new(CallerGateway::new(GatewayParts {
+        node: "n-1".into(),
+        zone: "z".into(),
+        origin: "s".into(),
+        gate: Rc::new(gate),
+        snapshot: Rc::clone(snapshot),
+        link_bytes_per_ms: 1_250.0,
+        budget: BudgetLimits {
+            ratio: 0.2,
+            slack: 50.0,
+            window_ms: 10_000,
+        },
+        quota: Rc::clone(&agent.quota),
+        keys: KeyChecker::new(Rc::default(), None),
+        metrics: Rc::clone(&agent.metrics),
+        refresh_requested: Rc::new(Notify::new()),
+    }))
+}
+
+/// Guards against an agent that refuses requests without waiting for credit, since it had no processor time for longer
+/// than the wait between their arrival and the credit request.
+#[gtest]
+fn serve_late_request_waits_for_credit() {
+    actix_rt::System::new().block_on(async {
+        let busy = tenant("busy", 100.0, 30.0);
+        let mut first = snapshot_of(&[]);
+        let mut routes = RouteTable::clone(first.routes.as_ref().expect("a configuration"));
+        routes.tenants = Some(TenantTable::new().with_tenant(busy, &["key"]));
+        routes.routes.push(RouteRule {
+            name: "route".into(),
+            host: "h.example".into(),
+            prefix: "/p/".into(),
+            idempotent: true,
+            timeout_ms: 1_000,
+            objective_ms: 400,
+            priority: 1,
+            max_attempts: 1,
+            public: false,
+            targets: vec![RouteTarget {
+                service: "s".into(),
+                weight: 1,
+            }],
+        });
+        first.routes = Some(Rc::new(routes));
+        let snapshot: Rc<SnapshotSender> = Rc::new(watch::Sender::new(Rc::new(first)));
+        let _holder = start("n-2", 12, &snapshot).await;
+        wait_for_holders(&snapshot, "n-2").await;
+        let agent = start("n-1", 11, &snapshot).await;
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+        let request = HttpRequest::new(Method::GET, "/p/x")
+            .with_header("host", "h.example")
+            .with_header("x-request-id", "r1")
+            .with_header("authorization", "Token key");
+        // The wait is an eighth of the objective.
+        let received_at = clock::now().minus(100);
+        let gateway = gateway(&agent, &snapshot);
+        let _response = gateway.serve(request, received_at).await;
+        expect_that!(agent.metrics.quota_unreachable.get(), eq(0));
+        expect_that!(agent.metrics.quota_admitted.get(), eq(1));
+    });
+}
