--- a/crates/edge/tests/test_quota.rs
+++ b/crates/edge/tests/test_quota.rs
@@ -61,6 +61,8 @@
 thread_local! {
     /// Whether the store answers commits with 503.
     static REFUSES_COMMITS: Cell<bool> = const { Cell::new(false) };
+    /// Delay of replies to credit requests, in milliseconds.
+    static REPLY_DELAY_MS: Cell<u64> = const { Cell::new(0) };
 }
 
 /// An agent that lends and borrows.
@@ -190,7 +192,10 @@
         Rc::new(move |request, _| {
             assert_eq!(request.path(), QUOTA_PATH);
             let response = lender.answer(&request);
-            Box::pin(async move { response })
+            Box::pin(async move {
+                actix_rt::time::sleep(Duration::from_millis(REPLY_DELAY_MS.get())).await;
+                response
+            })
         }),
         Rc::new(|| LIMITS),
     );
@@ -458,3 +463,24 @@
         expect_that!(agent.metrics.quota_admitted.get(), eq(1));
     });
 }
+
+/// Guards against credit that is kept until it expires if it arrives after the request has given up.
+#[gtest]
+fn acquire_given_up_returns_late_credit() {
+    actix_rt::System::new().block_on(async {
+        let busy = tenant("busy", 100.0, 9.0);
+        let snapshot: Rc<SnapshotSender> = Rc::new(watch::Sender::new(Rc::new(snapshot_of(
+            std::slice::from_ref(&busy),
+        ))));
+        let _holder = start("n-2", 12, &snapshot).await;
+        wait_for_holders(&snapshot, "n-2").await;
+        let agent = start("n-1", 11, &snapshot).await;
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+        REPLY_DELAY_MS.set(30);
+        let outcome = agent.quota.acquire(&busy, clock::now().plus(10)).await;
+        expect_that!(outcome, not(matches_pattern!(QuotaOutcome::Admitted(_))));
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+        let messages = agent.metrics.quota_messages.get();
+        expect_that!(messages, eq(2), "one that asks and one that returns");
+    });
+}
