--- a/crates/edge/src/quota.rs
+++ b/crates/edge/src/quota.rs
@@ -35,6 +35,7 @@
 use jy_types::routing::RouteTable;
 use jy_types::tenant::TenantRule;
 use jy_types::time::Millis;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -116,6 +117,8 @@
     skipped: RefCell<SkippedHolders>,
     pool: ConnectionPool,
     is_releasing: Cell<bool>,
+    /// Has [`LocalQuota::run`] delete the records that are left.
+    release_requested: Notify,
 }
 
 /// The account of a tenant and the requests that wait for its credit, in order of arrival.
@@ -159,10 +162,7 @@
             is_due
         };
         if is_return_due {
-            actix_rt::spawn(async move {
-                sleep(Duration::from_millis(RETURN_DELAY_MS)).await;
-                state.start_asking(&tenant);
-            });
+            state.spawn_return(&tenant);
         }
     }
 }
@@ -187,6 +187,7 @@
             skipped: RefCell::default(),
             pool: ConnectionPool::new(),
             is_releasing: Cell::new(false),
+            release_requested: Notify::new(),
         };
         Self {
             state: Rc::new(state),
@@ -209,8 +210,7 @@
                 let wait = Duration::from_millis(wait_until.since(clock::now()));
                 match timeout(wait, receiver).await {
                     Ok(Ok(outcome)) => outcome,
-                    // The tenant was removed from the configuration.
-                    Ok(Err(_)) => UNREACHABLE,
+                    Ok(Err(_)) => state.outcome_without_account(&tenant.name),
                     Err(_) => state.refuse_late(&tenant.name),
                 }
             }
@@ -313,7 +313,7 @@
             let snapshot = Rc::clone(&fleet.snapshot.borrow());
             let views = self.part_views(now, &snapshot, &terms);
             let step = open.account.next_step(now, waiting, &views);
-            // A task that is asking another holder does not delay credit of this agent's own slots.
+            // Credit of this agent's own slots needs no task, but a reply of another holder that is due is awaited first.
             let AccountStep::Ask(part) = step else {
                 break step;
             };
@@ -353,7 +353,7 @@
     /// Returns the outcome of a request that waited for credit for as long as it may.
     fn refuse_late(&self, tenant: &Name) -> QuotaOutcome {
         let Some((fleet, (_, terms))) = self.fleet.get().zip(self.terms(tenant)) else {
-            return UNREACHABLE;
+            return self.outcome_without_account(tenant);
         };
         let now = clock::now();
         let views = self.part_views(now, &fleet.snapshot.borrow(), &terms);
@@ -373,6 +373,14 @@
         }
     }
 
+    /// Returns the outcome of a request whose account was removed while it waited, with the tenant or with its quota.
+    fn outcome_without_account(&self, tenant: &Name) -> QuotaOutcome {
+        match self.book.borrow().terms.get(tenant) {
+            Some(None) => QuotaOutcome::Admitted(QuotaCredit { origin: None }),
+            _ => UNREACHABLE,
+        }
+    }
+
     /// Returns the credit of one request.
     fn credit(self: &Rc<Self>, tenant: &Name, tag: CreditTag) -> QuotaCredit {
         QuotaCredit {
@@ -399,6 +407,15 @@
         }
     }
 
+    /// Starts the task that returns surplus credit after a delay.
+    fn spawn_return(self: &Rc<Self>, tenant: &Name) {
+        let (state, tenant) = (Rc::clone(self), Name::clone(tenant));
+        actix_rt::spawn(async move {
+            sleep(Duration::from_millis(RETURN_DELAY_MS)).await;
+            state.start_asking(&tenant);
+        });
+    }
+
     /// Requests credit for a tenant, from one holder after the other, until no request waits for it.
     async fn ask_holders(self: &Rc<Self>, tenant: &Name) {
         while let Some(step) = self.next_step(tenant) {
@@ -493,6 +510,16 @@
                 skipped.skip_silent(now, &holder.run);
             }
         }
+        let is_return_due = {
+            let mut accounts = self.accounts.borrow_mut();
+            accounts.get_mut(tenant).is_some_and(|open| {
+                open.waiters.retain(|waiter| !waiter.outcome.is_closed());
+                open.waiters.is_empty() && open.account.plan_surplus_return(now, &request)
+            })
+        };
+        if is_return_due {
+            self.spawn_return(tenant);
+        }
     }
 
     /// Applies a holder's reply to an account.
--- a/crates/edge/tests/test_quota.rs
+++ b/crates/edge/tests/test_quota.rs
@@ -1,13 +1,20 @@
 //! Tests of the credit that agents lend each other over real connections, and of the claims of slots.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::Method;
 use bytes::Bytes;
 use googletest::prelude::*;
+use jy_edge::backend::LocalBackend;
 use jy_edge::feed::FeedPart;
 use jy_edge::feed::SnapshotSender;
+use jy_edge::gate::LocalGate;
+use jy_edge::gateway::CallerGateway;
+use jy_edge::gateway::GatewayParts;
+use jy_edge::keys::KeyChecker;
 use jy_edge::member::LocalMember;
 use jy_edge::metrics::EdgeMetrics;
 use jy_edge::quota::LocalQuota;
@@ -23,17 +30,22 @@
 use jy_kernel::clock;
 use jy_platform::store::StoreAnswer;
 use jy_platform::store::StoreClient;
+use jy_policy::budget::BudgetLimits;
 use jy_policy::quota::group_of;
 use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
 use jy_types::quota::SlotRecord;
 use jy_types::record::Record;
 use jy_types::routing::CallerLimits;
+use jy_types::routing::RouteRule;
 use jy_types::routing::RouteTable;
+use jy_types::routing::RouteTarget;
 use jy_types::tenant::TenantQuota;
 use jy_types::tenant::TenantRule;
 use jy_types::tenant::TenantTable;
+use jy_types::time::Millis;
 use serde_json::Value;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -46,6 +58,13 @@
 /// Time within which all slots are claimed, in milliseconds.
 const MAX_CLAIM_MS: u64 = 4_000;
 
+thread_local! {
+    /// Whether the store answers commits with 503.
+    static REFUSES_COMMITS: Cell<bool> = const { Cell::new(false) };
+    /// Delay of replies to credit requests, in milliseconds.
+    static REPLY_DELAY_MS: Cell<u64> = const { Cell::new(0) };
+}
+
 /// An agent that lends and borrows.
 struct Agent {
     quota: Rc<LocalQuota>,
@@ -56,7 +75,10 @@
 fn store(node: &Name, lease: u64, snapshot: &Rc<SnapshotSender>) -> StoreClient {
     let (node, snapshot) = (Name::clone(node), Rc::clone(snapshot));
     StoreClient::with_call(Rc::new(move |request: HttpRequest, _| {
-        let reply = if request.path() == "/kv-txn" {
+        let is_commit = request.path() == "/kv-txn";
+        let reply = if is_commit && REFUSES_COMMITS.get() {
+            (503, String::new())
+        } else if is_commit {
             commit(&node, lease, &snapshot, &request.body)
         } else {
             (200, format!("{{\"lease\":{lease}}}"))
@@ -170,7 +192,10 @@
         Rc::new(move |request, _| {
             assert_eq!(request.path(), QUOTA_PATH);
             let response = lender.answer(&request);
-            Box::pin(async move { response })
+            Box::pin(async move {
+                actix_rt::time::sleep(Duration::from_millis(REPLY_DELAY_MS.get())).await;
+                response
+            })
         }),
         Rc::new(|| LIMITS),
     );
@@ -321,3 +346,141 @@
         }
     });
 }
+
+/// Guards against records that stay until the lease ends after the store failed once at the release.
+#[gtest]
+fn release_after_failed_commit_is_repeated() {
+    actix_rt::System::new().block_on(async {
+        let busy = tenant("busy", 50.0, 9.0);
+        let snapshot: Rc<SnapshotSender> =
+            Rc::new(watch::Sender::new(Rc::new(snapshot_of(&[busy]))));
+        let agent = start("n-1", 11, &snapshot).await;
+        wait_for_holders(&snapshot, "n-1").await;
+        let _other = start("n-2", 12, &snapshot).await;
+        REFUSES_COMMITS.set(true);
+        agent.quota.release().await;
+        expect_that!(snapshot.borrow().quota_slots.len(), eq(48));
+        REFUSES_COMMITS.set(false);
+        wait_for_holders(&snapshot, "n-2").await;
+    });
+}
+
+/// Guards against requests that are refused because the quota that they wait for is removed.
+#[gtest]
+fn acquire_waits_while_quota_is_removed() {
+    actix_rt::System::new().block_on(async {
+        let slow = tenant("slow", 1.0, 1.0);
+        let snapshot: Rc<SnapshotSender> = Rc::new(watch::Sender::new(Rc::new(snapshot_of(
+            std::slice::from_ref(&slow),
+        ))));
+        let agent = start("n-1", 11, &snapshot).await;
+        wait_for_holders(&snapshot, "n-").await;
+        while let QuotaOutcome::Admitted(_) = agent.quota.acquire(&slow, clock::now()).await {}
+        let mut free = slow.clone();
+        free.quota = None;
+        let mut next = FleetSnapshot::clone(&snapshot.borrow());
+        next.routes = snapshot_of(&[free]).routes;
+        let updated = Rc::clone(&snapshot);
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(Duration::from_millis(100)).await;
+            updated.send_replace(Rc::new(next));
+        });
+        let outcome = agent.quota.acquire(&slow, clock::now().plus(3_000)).await;
+        expect_that!(outcome, matches_pattern!(QuotaOutcome::Admitted(_)));
+        expect_that!(format!("{outcome:?}"), contains_substring("tag: None"));
+    });
+}
+
+/// Builds the gateway of an agent without a backend server.
+fn gateway(agent: &Agent, snapshot: &Rc<SnapshotSender>) -> Rc<CallerGateway> {
+    let backend = LocalBackend::new("n-1".into(), Millis(0), 10_000, 1_000);
+    let gate = LocalGate::new(
+        "z".into(),
+        ([127, 0, 0, 1], 9).into(),
+        Rc::new(backend),
+        Rc::clone(snapshot),
+        Rc::clone(&agent.metrics),
+        1_250.0,
+    );
+    Rc::new(CallerGateway::new(GatewayParts {
+        node: "n-1".into(),
+        zone: "z".into(),
+        origin: "s".into(),
+        gate: Rc::new(gate),
+        snapshot: Rc::clone(snapshot),
+        link_bytes_per_ms: 1_250.0,
+        budget: BudgetLimits {
+            ratio: 0.2,
+            slack: 50.0,
+            window_ms: 10_000,
+        },
+        quota: Rc::clone(&agent.quota),
+        keys: KeyChecker::new(Rc::default(), None),
+        metrics: Rc::clone(&agent.metrics),
+        refresh_requested: Rc::new(Notify::new()),
+    }))
+}
+
+/// Guards against an agent that refuses requests without waiting for credit, since it had no processor time for longer
+/// than the wait between their arrival and the credit request.
+#[gtest]
+fn serve_late_request_waits_for_credit() {
+    actix_rt::System::new().block_on(async {
+        let busy = tenant("busy", 100.0, 30.0);
+        let mut first = snapshot_of(&[]);
+        let mut routes = RouteTable::clone(first.routes.as_ref().expect("a configuration"));
+        routes.tenants = Some(TenantTable::new().with_tenant(busy, &["key"]));
+        routes.routes.push(RouteRule {
+            name: "route".into(),
+            host: "h.example".into(),
+            prefix: "/p/".into(),
+            idempotent: true,
+            timeout_ms: 1_000,
+            objective_ms: 400,
+            priority: 1,
+            max_attempts: 1,
+            public: false,
+            targets: vec![RouteTarget {
+                service: "s".into(),
+                weight: 1,
+            }],
+        });
+        first.routes = Some(Rc::new(routes));
+        let snapshot: Rc<SnapshotSender> = Rc::new(watch::Sender::new(Rc::new(first)));
+        let _holder = start("n-2", 12, &snapshot).await;
+        wait_for_holders(&snapshot, "n-2").await;
+        let agent = start("n-1", 11, &snapshot).await;
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+        let request = HttpRequest::new(Method::GET, "/p/x")
+            .with_header("host", "h.example")
+            .with_header("x-request-id", "r1")
+            .with_header("authorization", "Token key");
+        // The wait is an eighth of the objective.
+        let received_at = clock::now().minus(100);
+        let gateway = gateway(&agent, &snapshot);
+        let _response = gateway.serve(request, received_at).await;
+        expect_that!(agent.metrics.quota_unreachable.get(), eq(0));
+        expect_that!(agent.metrics.quota_admitted.get(), eq(1));
+    });
+}
+
+/// Guards against credit that is kept until it expires if it arrives after the request has given up.
+#[gtest]
+fn acquire_given_up_returns_late_credit() {
+    actix_rt::System::new().block_on(async {
+        let busy = tenant("busy", 100.0, 9.0);
+        let snapshot: Rc<SnapshotSender> = Rc::new(watch::Sender::new(Rc::new(snapshot_of(
+            std::slice::from_ref(&busy),
+        ))));
+        let _holder = start("n-2", 12, &snapshot).await;
+        wait_for_holders(&snapshot, "n-2").await;
+        let agent = start("n-1", 11, &snapshot).await;
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+        REPLY_DELAY_MS.set(30);
+        let outcome = agent.quota.acquire(&busy, clock::now().plus(10)).await;
+        expect_that!(outcome, not(matches_pattern!(QuotaOutcome::Admitted(_))));
+        actix_rt::time::sleep(Duration::from_millis(300)).await;
+        let messages = agent.metrics.quota_messages.get();
+        expect_that!(messages, eq(2), "one that asks and one that returns");
+    });
+}
