edge: end the hold-back by any table of a settled era

An agent that starts after a drill held back for 20.5 s if one table was of an earlier era, until that table was written again. No agent writes the table of a service that was removed or is not keyed any more, so that after one drill every later start held back.

The tables are checked together once a batch of records is applied. A complete table of the present era, which only an agent for which the era is settled writes, shows for all services that the era is settled: the end of the rights of the earlier era does not depend on the service.

--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -135,8 +135,9 @@
     /// Until when nothing of other agents is taken, since the store has come back from an older copy; zero if this
     /// agent has not seen that.
     pub settled_at: Millis,
-    /// The service whose table showed that the store came back from an older copy before this agent started.
-    pub held_back_by: Option<Name>,
+    /// Whether a table showed that the store came back from an older copy before this agent started, so that it holds
+    /// back until a table shows that the era is settled for another agent.
+    pub is_held_back_by_table: bool,
     /// The last complete key ranges of earlier eras, by service.
     pub earlier_ranges: BTreeMap<Name, Rc<RangeTable>>,
 }
@@ -229,7 +230,7 @@
         let has_read_earlier = self.revision > 0 || self.operator_revision > 0;
         if era > newest && has_read_earlier {
             self.hold_back(now, era);
-            self.held_back_by = None;
+            self.is_held_back_by_table = false;
         }
         match part {
             FeedPart::Operator if era > self.operator_era => {
@@ -255,17 +256,23 @@
         );
     }
 
-    /// Holds back claims if a table shows that the store came back from an older copy before this agent started, until an
-    /// agent for which the era is settled has written that table.
-    fn check_table_era(&mut self, now: Millis, service: &str, table: &RangeTable) {
-        let is_from_copy = table.era() < self.era || table.is_incomplete();
-        if is_from_copy && self.settled_at == Millis::default() {
+    /// Holds back claims if the tables show that the store came back from an older copy before this agent started, until
+    /// an agent for which the era is settled has written any table.
+    ///
+    /// The era settles for all services at once. A table that nobody manages any more keeps its earlier era, so that each
+    /// table can't be waited for.
+    fn check_table_eras(&mut self, now: Millis) {
+        let is_from_copy = |table: &RangeTable| table.era() < self.era || table.is_incomplete();
+        let is_known_from_copy = |versioned: &VersionedRanges| is_from_copy(&versioned.table);
+        let is_settled = !self.ranges.values().all(is_known_from_copy);
+        let is_unsettled = !is_settled && !self.ranges.is_empty();
+        if is_unsettled && self.settled_at == Millis::default() {
             self.hold_back(now, self.era);
-            self.held_back_by = Some(service.into());
-        } else if !is_from_copy && self.held_back_by.as_deref() == Some(service) {
+            self.is_held_back_by_table = true;
+        } else if is_settled && self.is_held_back_by_table {
             log::info!("belief era={} is settled for other agents", self.era);
             self.settled_at = self.settled_at.min(now);
-            self.held_back_by = None;
+            self.is_held_back_by_table = false;
         }
     }
 
@@ -308,6 +315,7 @@
             FeedPart::Fleet => &mut self.revision,
         };
         *revision = complete_to.max(*revision);
+        self.check_table_eras(now);
         self.remove_lapsed(now);
         self
     }
@@ -387,7 +395,7 @@
         } else if let Some(node) = record.key.strip_prefix(INSTANCE_PREFIX) {
             self.apply_instance(now, node, record);
         } else if let Some(service) = record.key.strip_prefix(RANGES_PREFIX) {
-            self.apply_ranges(now, service, record);
+            self.apply_ranges(service, record);
         } else if let Some(node) = record.key.strip_prefix(WITNESS_PREFIX) {
             self.apply_witnesses(node, record);
         } else if let Some(node) = record.key.strip_prefix(LEAVING_PREFIX) {
@@ -466,14 +474,13 @@
     }
 
     /// Applies a service's key ranges, or their deletion.
-    fn apply_ranges(&mut self, now: Millis, service: &str, record: &Record) {
+    fn apply_ranges(&mut self, service: &str, record: &Record) {
         let Some(value) = &record.value else {
             self.ranges.remove(service);
             return;
         };
         match RangeTable::parse(value) {
             Ok(table) => {
-                self.check_table_era(now, service, &table);
                 let versioned = VersionedRanges {
                     table: Rc::new(table),
                     revision: record.revision,
--- a/crates/edge/tests/test_era.rs
+++ b/crates/edge/tests/test_era.rs
@@ -227,6 +227,32 @@
     expect_that!(listed(2, table(2, true)), eq(held_back));
 }
 
+/// Guards against a table of a service that nobody manages any more, which keeps its earlier era for good, and holds back
+/// every agent that starts.
+#[gtest]
+fn with_changes_unmanaged_table_does_not_hold_back() {
+    let ranges = |service: &str, table: RangeTable| {
+        let text = table.to_text().expect("a table can be encoded").to_string();
+        record(ranges_key(service), 30, Some(text))
+    };
+    for (unmanaged, managed) in [("a", "b"), ("b", "a")] {
+        let mut records = vec![
+            ranges(unmanaged, table(1, false)),
+            ranges(managed, table(2, false)),
+        ];
+        records.sort_by(|one, other| one.key.cmp(&other.key));
+        let (_, snapshot) = apply_list(Default::default(), 1_000, 2, records, 40);
+        expect_that!(snapshot.is_era_settled(Millis(1_000)), eq(true));
+    }
+    // Without a table of the present era the era may not be settled.
+    let records = vec![ranges("a", table(1, false)), ranges("b", table(2, true))];
+    let (_, snapshot) = apply_list(Default::default(), 1_000, 2, records, 40);
+    expect_that!(snapshot.is_era_settled(Millis(1_000)), eq(false));
+    let settled = [ranges("b", table(2, false))];
+    let snapshot = snapshot.with_changes(Millis(3_000), FeedPart::Fleet, &settled, 50);
+    expect_that!(snapshot.is_era_settled(Millis(3_000)), eq(true));
+}
+
 /// Guards against an agent that starts late in the hold-back and holds back again for as long.
 #[gtest]
 fn with_changes_settled_table_ends_hold_back() {
