edge: claim no quota slots just after a start in a later era

An agent that starts after a drill sees no earlier era, so that it claimed slots at once: only a table of key ranges shows that the store came back shortly before. Holders whose records were lost with the copy may lend for up to the duration of a lease.

A store that states no era, or era 0, is not concerned.

test_era: with_era_forgets_holders_until_leases_have_ended expected no wait after the first list in era 3.

--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -132,6 +132,8 @@
     pub era: u64,
     /// Era of the store in which the records of operators were read.
     pub operator_era: u64,
+    /// When the newest era was first read; zero if the store states none.
+    pub era_read_at: Millis,
     /// Until when nothing of other agents is taken, since the store has come back from an older copy; zero if this
     /// agent has not seen that.
     pub settled_at: Millis,
@@ -205,10 +207,14 @@
     }
 
     /// Returns when all leases that earlier eras of the store granted have ended; zero if the store has not come back
-    /// from an older copy.
+    /// from an older copy. The present era may have begun just before this agent first read it, also if that was the
+    /// first list that it read.
     #[must_use]
-    pub const fn leases_ended_at(&self) -> Millis {
-        self.settled_at.minus(SETTLE_MS - LEASE_END_MS)
+    pub fn leases_ended_at(&self) -> Millis {
+        if self.era_read_at == Millis::default() {
+            return Millis::default();
+        }
+        self.era_read_at.plus(LEASE_END_MS)
     }
 
     /// Returns the key ranges of a service; those of an earlier era if the store has lost the table.
@@ -227,6 +233,9 @@
     #[must_use]
     pub fn with_era(mut self, now: Millis, part: FeedPart, era: u64) -> Self {
         let newest = self.era.max(self.operator_era);
+        if era > newest {
+            self.era_read_at = now;
+        }
         let has_read_earlier = self.revision > 0 || self.operator_revision > 0;
         if era > newest && has_read_earlier {
             self.hold_back(now, era);
--- a/crates/edge/tests/test_era.rs
+++ b/crates/edge/tests/test_era.rs
@@ -144,7 +144,7 @@
 }
 
 /// Guards against holders of quota slots that go on by records that the copy lacks, and against claims of their slots
-/// while they may still lend.
+/// while they may still lend, also by an agent that starts after the drill.
 #[gtest]
 fn with_era_forgets_holders_until_leases_have_ended() {
     let slot = SlotId { part: 1, group: 7 };
@@ -157,7 +157,12 @@
     let held = record(quota_slot_key(slot), 49, Some(text));
     let first = apply_list(Default::default(), 10, 3, vec![instance(50), held], 50);
     expect_that!(first.1.quota_slots.contains_key(&slot), eq(true));
-    expect_that!(first.1.leases_ended_at(), eq(Millis::default()));
+    // The drill may have been just before this agent started.
+    let starts_to_claim_at = first.1.leases_ended_at();
+    expect_that!(starts_to_claim_at, ge(Millis(10).plus(LEASE_MS)));
+    expect_that!(starts_to_claim_at, lt(Millis(10).plus(SETTLE_MS)));
+    let without_eras = apply_list(Default::default(), 10, 0, vec![instance(50)], 50);
+    expect_that!(without_eras.1.leases_ended_at(), eq(Millis::default()));
     let (_, snapshot) = apply_list(first, 100_000, 4, vec![instance(30)], 40);
     expect_that!(snapshot.quota_slots.is_empty(), eq(true));
     expect_that!(
