edge: send claims of quota slots only in the era that they rest on

Claims and releases of quota slots were sent with expected revisions that may have been issued again, and one that was applied in another era counted as done.

LocalMember::commit takes the era of the expected revisions. It sends nothing if the last answer is too old or of another era, and treats a commit that was applied in another era as a conflict.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -200,7 +200,7 @@
             Rc::clone(&snapshot),
         ));
         let record = record_builder(&settings, Name::clone(&run), &backend, &is_shutting_down);
-        let leaving_backend = Rc::clone(&backend);
+        let (leaving_backend, holding_backend) = (Rc::clone(&backend), Rc::clone(&backend));
         let member = LocalMember::new(
             store,
             Rc::clone(&snapshot),
@@ -208,8 +208,8 @@
             record,
             Rc::clone(&support),
         );
-        let holding_backend = Rc::clone(&backend);
         let member = member
+            .with_era(Rc::clone(&era))
             .with_leaving(Rc::new(move || leaving_backend.leaving()))
             .with_restored(Rc::new(move |snapshot| {
                 holding_backend.is_restored(clock::now(), snapshot)
--- a/crates/edge/src/member.rs
+++ b/crates/edge/src/member.rs
@@ -22,6 +22,7 @@
 use tokio::time::timeout;
 
 use crate::era::EraAuthority;
+use crate::era::StoreEra;
 use crate::feed::SnapshotSender;
 use crate::snapshot::FleetSnapshot;
 use crate::snapshot::instance_key;
@@ -76,6 +77,7 @@
     support: Rc<LocalSupport>,
     node: Name,
     restored: RestoredFn,
+    era: Rc<StoreEra>,
     changed: Notify,
     lease: Cell<GrantedLease>,
     /// Time until which the lease is certain to be in force.
@@ -109,6 +111,7 @@
             support,
             node,
             restored: Rc::new(|_| true),
+            era: Rc::default(),
             changed: Notify::new(),
             lease: Cell::default(),
             lease_until: Cell::new(Millis::default()),
@@ -133,6 +136,13 @@
         self
     }
 
+    /// Sets the newest era that the store has stated to this agent.
+    #[must_use]
+    pub fn with_era(mut self, era: Rc<StoreEra>) -> Self {
+        self.era = era;
+        self
+    }
+
     /// Returns until when the agent may grant keys; no other agent takes them before.
     ///
     /// After the store came back from an older copy, renewals count only once the store's tables name the owner again:
@@ -157,13 +167,24 @@
         })
     }
 
-    /// Applies a commit of further records under the lease.
+    /// Applies a commit of further records under the lease, whose expected revisions are of `era`. It is not sent, and
+    /// counts as a conflict, if the store may be in another era by now; so does one that was applied in another era.
     ///
     /// # Errors
     ///
     /// Returns an error if the call to the store fails; the commit may take effect later all the same.
-    pub async fn commit(&self, commit: &StoreCommit) -> Result<CommitOutcome> {
-        self.store.commit(commit).await
+    pub async fn commit(&self, commit: &StoreCommit, era: u64) -> Result<CommitOutcome> {
+        if !self.era.may_commit(clock::now(), era) {
+            return Ok(CommitOutcome::Conflict);
+        }
+        let outcome = self.store.commit(commit).await?;
+        let is_other_era =
+            matches!(outcome, CommitOutcome::Applied { era: applied, .. } if applied != era);
+        Ok(if is_other_era {
+            CommitOutcome::Conflict
+        } else {
+            outcome
+        })
     }
 
     /// Requests an immediate check of the record, since its contents have changed.
--- a/crates/edge/src/quota/claims.rs
+++ b/crates/edge/src/quota/claims.rs
@@ -91,14 +91,14 @@
         };
         self.state.lender.borrow_mut().retain(|_, _| false);
         fleet.metrics.quota_slots.set(0);
-        let held: Vec<SlotClaim> = {
+        let (held, era) = {
             let snapshot = fleet.snapshot.borrow();
             let is_own =
                 |record: &SlotRecord| record.node == self.state.node && record.run == fleet.run;
             let slots = snapshot.quota_slots.iter();
             let own = slots.filter(|(_, slot)| is_own(&slot.record));
-            own.map(|(slot, versioned)| (*slot, versioned.revision))
-                .collect()
+            let held = own.map(|(slot, versioned)| (*slot, versioned.revision));
+            (held.collect::<Vec<SlotClaim>>(), snapshot.era)
         };
         for slots in held.chunks(MAX_RELEASES) {
             let keys = slots.iter().map(|(slot, _)| quota_slot_key(*slot));
@@ -110,7 +110,7 @@
                 writes: Vec::new(),
                 deletes: keys.collect(),
             };
-            let end = fleet.member.commit(&commit).await;
+            let end = fleet.member.commit(&commit, era).await;
             log::info!(
                 "decision quota slots released slots=[{}] end={end:?}",
                 names(slots)
@@ -220,7 +220,8 @@
             writes: writes.collect(),
             deletes: Vec::new(),
         };
-        let end = fleet.member.commit(&commit).await;
+        let era = fleet.snapshot.borrow().era;
+        let end = fleet.member.commit(&commit, era).await;
         log::info!(
             "decision quota slots claimed slots=[{}] lease={} end={end:?}",
             names(claims),
--- a/crates/edge/tests/test_era.rs
+++ b/crates/edge/tests/test_era.rs
@@ -19,16 +19,20 @@
 use jy_edge::feed::answer_relay;
 use jy_edge::feed::relay_query;
 use jy_edge::member::LEASE_MS;
+use jy_edge::member::LocalMember;
 use jy_edge::snapshot::FleetSnapshot;
 use jy_edge::snapshot::instance_key;
 use jy_edge::snapshot::leaving_key;
 use jy_edge::snapshot::quota_slot_key;
 use jy_edge::snapshot::ranges_key;
+use jy_edge::support::LocalSupport;
 use jy_feed::replica::RecordReplica;
 use jy_http::pool::ConnectionPool;
 use jy_kernel::clock;
+use jy_platform::store::CommitOutcome;
 use jy_platform::store::StoreAnswer;
 use jy_platform::store::StoreClient;
+use jy_platform::store::StoreCommit;
 use jy_platform::store::StoreError;
 use jy_ranges::table::RangeOwner;
 use jy_ranges::table::RangeTable;
@@ -292,6 +296,55 @@
     expect_that!(era.may_commit(Millis(9_000), 1), eq(false), "a late answer");
 }
 
+/// Guards against claims and releases of quota slots with revisions that may have been issued again.
+#[gtest]
+fn commit_of_other_era_is_conflict() {
+    let snapshot: Rc<SnapshotSender> = Rc::new(watch::Sender::new(Rc::default()));
+    let sent = Rc::new(Cell::new(0));
+    let count = Rc::clone(&sent);
+    let store = StoreClient::with_call(Rc::new(move |_, _| {
+        count.set(count.get() + 1);
+        let body = Bytes::from_static(br#"{"revision":7}"#);
+        let answer = StoreAnswer::new(200, body).with_era(2);
+        Box::pin(async move { Ok(answer) })
+    }));
+    let era = Rc::new(StoreEra::new());
+    let support = LocalSupport::new("n".into(), "z".into(), "run".into(), Rc::clone(&snapshot));
+    let member = LocalMember::new(
+        store,
+        snapshot,
+        "n".into(),
+        Rc::new(|| unreachable!("no record is written")),
+        Rc::new(support),
+    )
+    .with_era(Rc::clone(&era));
+    let commit = |read_era: u64| {
+        let commit = StoreCommit::default();
+        let end = actix_rt::System::new().block_on(member.commit(&commit, read_era));
+        end.expect("an answer")
+    };
+    let applied = CommitOutcome::Applied {
+        revision: 7,
+        era: 2,
+    };
+    expect_that!(commit(2), eq(applied), "the store has stated no era yet");
+    expect_that!(commit(1), eq(CommitOutcome::Conflict));
+    expect_that!(sent.get(), eq(2));
+    era.record(clock::now(), Some(2));
+    expect_that!(commit(1), eq(CommitOutcome::Conflict));
+    expect_that!(
+        sent.get(),
+        eq(2),
+        "a commit that rests on era 1 is not sent"
+    );
+    expect_that!(commit(2), eq(applied));
+    let stale = Rc::new(StoreEra::new());
+    stale.record(clock::now().minus(2_500), Some(2));
+    let member = member.with_era(stale);
+    let end = actix_rt::System::new().block_on(member.commit(&StoreCommit::default(), 2));
+    expect_that!(end.expect("no call"), eq(CommitOutcome::Conflict));
+}
+
 /// Returns records of era 1, complete up to revision 6, as an agent relays them.
 fn relayed() -> RelayedRecords {
     let list = RecordBatch {
