edge: claim quota slots again at once after a change of era

After each drill all slots were without a holder for about 4 s, until the leases of the earlier era had ended: the records of the copy are void, and an agent could not tell its own lost slots from those of others.

When the era changes, an agent remembers the slots that it held under a lease that was still in force when it first read the new era, and claims only those before the leases of the earlier era have ended. Their buckets start empty. Two runs can't remember the same slot: no agent replaces the record of another, so that a later holder's claim follows the end of the lease before, and the lease in force at the first reading had not ended when the store stopped. Slots remembered in one era are forgotten when the next begins.

test_quota (edge): run_new_era_claims_remembered_slots_only failed with the claims before the end of the leases removed, and with slots remembered whatever their lease; 3 tests pass. test_quota (policy): 13 tests pass, among them reclaims_free_and_own_stale_slots. test_era passes.

--- a/crates/edge/src/member.rs
+++ b/crates/edge/src/member.rs
@@ -82,6 +82,8 @@
     lease: Cell<GrantedLease>,
     /// Time until which the lease is certain to be in force.
     lease_until: Cell<Millis>,
+    /// The last renewals of the present lease and of the one before.
+    renewed: Cell<[RenewedLease; 2]>,
     written: Cell<WrittenRecord>,
     authority: Cell<EraAuthority>,
 }
@@ -93,6 +95,13 @@
     revision: u64,
 }
 
+/// A lease and the time until which its last renewal is certain to keep it in force.
+#[derive(Clone, Copy, Debug, Default)]
+struct RenewedLease {
+    lease: GrantedLease,
+    until: Millis,
+}
+
 impl LocalMember {
     /// Creates a membership without a lease or a record.
     #[must_use]
@@ -115,6 +124,7 @@
             changed: Notify::new(),
             lease: Cell::default(),
             lease_until: Cell::new(Millis::default()),
+            renewed: Cell::default(),
             written: Cell::default(),
             authority: Cell::default(),
         }
@@ -167,6 +177,33 @@
         })
     }
 
+    /// Returns the lease of the agent's record if `era` granted it.
+    #[must_use]
+    pub fn lease_term_of(&self, era: u64) -> Option<LeaseTerm> {
+        self.lease_term().filter(|_| self.lease.get().era == era)
+    }
+
+    /// Whether the lease that `era` granted under an id was certain to be in force at a time.
+    #[must_use]
+    pub fn was_in_force(&self, id: u64, era: u64, at: Millis) -> bool {
+        let lease = GrantedLease { id, era };
+        let mut renewed = self.renewed.get().into_iter();
+        renewed.any(|renewed| renewed.lease == lease && at < renewed.until)
+    }
+
+    /// Records a renewal of the present lease.
+    fn record_renewal(&self, until: Millis) {
+        self.lease_until.set(until);
+        let lease = self.lease.get();
+        let [newest, before] = self.renewed.get();
+        let before = if newest.lease == lease {
+            before
+        } else {
+            newest
+        };
+        self.renewed.set([RenewedLease { lease, until }, before]);
+    }
+
     /// Applies a commit of further records under the lease, whose expected revisions are of `era`. It is not sent, and
     /// counts as a conflict, if the store may be in another era by now; so does one that was applied in another era.
     ///
@@ -234,7 +271,7 @@
             // The record is written once the feed has read the store's records in the era of the lease.
             return Ok(false);
         }
-        self.lease_until.set(sent_at.plus(LEASE_MS));
+        self.record_renewal(sent_at.plus(LEASE_MS));
         let status = self.record_status();
         if status == RecordStatus::Unconfirmed {
             return Ok(false);
--- a/crates/edge/src/quota/claims.rs
+++ b/crates/edge/src/quota/claims.rs
@@ -2,8 +2,13 @@
 //!
 //! An agent holds a slot while the snapshot has a record of it by this run under the present lease. Other agents
 //! replace no record; the store deletes it when the lease ends.
+//!
+//! When the store comes back from an older copy, the records that were written since are lost, while their holders may lend
+//! until their leases end. Until then, an agent claims only the slots that it held itself when it first read the new era
+//! and its lease was still in force: no other agent can have claimed them before the store stopped.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use jy_kernel::clock;
@@ -15,6 +20,7 @@
 use jy_policy::quota::claims::SlotCandidate;
 use jy_policy::quota::claims::SlotClaim;
 use jy_policy::quota::claims::SlotView;
+use jy_policy::quota::claims::reclaims;
 use jy_policy::quota::lender::LeaseTerm;
 use jy_types::name::Name;
 use jy_types::quota::SlotId;
@@ -47,6 +53,10 @@
     planner: ClaimPlanner,
     rng: SmallRng,
     failures: u32,
+    /// Era of the store in which the slots that are held were read.
+    era: u64,
+    /// Slots that this run held when that era was first read, under a lease that was in force.
+    remembered: BTreeSet<SlotId>,
 }
 
 impl LocalQuota {
@@ -60,18 +70,22 @@
             planner: ClaimPlanner::new(),
             rng: SmallRng::from_os_rng(),
             failures: 0,
+            era: 0,
+            remembered: BTreeSet::new(),
         };
         loop {
             self.state.refresh_book();
             let has_quotas = self.state.book.borrow().has_quotas();
             let mut is_complete = true;
             if has_quotas && !self.state.is_releasing.get() {
-                self.state.hold_claimed(fleet, &mut claimer.rng);
+                self.state.hold_claimed(fleet, &mut claimer);
                 let claims = self.state.plan_claims(fleet, &mut claimer);
                 if !claims.is_empty() {
                     self.state.claim(fleet, &mut claimer, &claims).await;
                 }
-                is_complete = fleet.snapshot.borrow().quota_slots.len() == SLOT_COUNT;
+                let snapshot = fleet.snapshot.borrow();
+                is_complete = snapshot.quota_slots.len() == SLOT_COUNT
+                    && clock::now() >= snapshot.leases_ended_at();
             }
             if is_complete {
                 // The sender lives as long as the agent.
@@ -121,8 +135,8 @@
 
 impl QuotaState {
     /// Takes over the slots whose records were written by this run under its present lease, and gives up all
-    /// others.
-    fn hold_claimed(&self, fleet: &QuotaFleet, rng: &mut SmallRng) {
+    /// others. Remembers those that are lost by a change of the store's era.
+    fn hold_claimed(&self, fleet: &QuotaFleet, claimer: &mut SlotClaimer) {
         let term = fleet.member.lease_term();
         let snapshot = fleet.snapshot.borrow();
         let mut lender = self.lender.borrow_mut();
@@ -134,13 +148,25 @@
                     && record.lease == lease
             })
         };
-        lender.retain(is_current);
+        let earlier_era = claimer.era;
+        if earlier_era != snapshot.era {
+            claimer.era = snapshot.era;
+            claimer.remembered.clear();
+        }
+        lender.retain(|slot, lease| {
+            let read_at = snapshot.era_read_at;
+            if earlier_era != snapshot.era && fleet.member.was_in_force(lease, earlier_era, read_at)
+            {
+                claimer.remembered.insert(slot);
+            }
+            is_current(slot, lease)
+        });
         let kept = lender.len();
         let now = clock::now();
         for (slot, versioned) in &snapshot.quota_slots {
             let lease = versioned.record.lease;
             if is_current(*slot, lease) && !lender.holds(*slot, lease) {
-                lender.hold(now, *slot, lease, rng.random());
+                lender.hold(now, *slot, lease, claimer.rng.random());
             }
         }
         let held = lender.len();
@@ -160,14 +186,14 @@
     fn plan_claims(&self, fleet: &QuotaFleet, claimer: &mut SlotClaimer) -> Vec<SlotClaim> {
         let now = clock::now();
         let snapshot = fleet.snapshot.borrow();
-        let Some(term) = fleet.member.lease_term().filter(|term| now < term.until) else {
+        let term = fleet.member.lease_term_of(snapshot.era);
+        let Some(term) = term.filter(|term| now < term.until) else {
             return Vec::new();
         };
         let is_live = snapshot.instances.get(&self.node).is_some_and(|own| {
             own.lapsed.is_none() && own.record.run == fleet.run && !own.record.leaving
         });
-        // A store that came back from an older copy may have lost the records of agents that still lend.
-        if !is_live || now < snapshot.leases_ended_at() {
+        if !is_live {
             return Vec::new();
         }
         let mut records = BTreeMap::new();
@@ -185,6 +211,9 @@
         if is_complete {
             return Vec::new();
         }
+        if now < snapshot.leases_ended_at() {
+            return reclaims(&self.node, &claimer.remembered, &records);
+        }
         let candidates = candidates(&snapshot);
         let SlotClaimer { planner, rng, .. } = claimer;
         planner.plan(now, &self.node, &candidates, &records, || rng.random())
--- a/crates/edge/tests/test_quota.rs
+++ b/crates/edge/tests/test_quota.rs
@@ -26,6 +26,7 @@
 use jy_policy::quota::group_of;
 use jy_types::endpoint::InstanceRecord;
 use jy_types::name::Name;
+use jy_types::quota::SlotId;
 use jy_types::quota::SlotRecord;
 use jy_types::record::Record;
 use jy_types::routing::CallerLimits;
@@ -54,6 +55,7 @@
 
 /// A store that grants leases and applies commits of slots' records to the snapshot of all agents.
 fn store(node: &Name, lease: u64, snapshot: &Rc<SnapshotSender>) -> StoreClient {
+    // The store states the era of the snapshot.
     let (node, snapshot) = (Name::clone(node), Rc::clone(snapshot));
     StoreClient::with_call(Rc::new(move |request: HttpRequest, _| {
         let reply = if request.path() == "/kv-txn" {
@@ -61,7 +63,9 @@
         } else {
             (200, format!("{{\"lease\":{lease}}}"))
         };
-        Box::pin(async move { Ok(StoreAnswer::new(reply.0, Bytes::from(reply.1))) })
+        let era = snapshot.borrow().era;
+        let answer = StoreAnswer::new(reply.0, Bytes::from(reply.1)).with_era(era);
+        Box::pin(async move { Ok(answer) })
     }))
 }
 
@@ -303,6 +307,57 @@
     });
 }
 
+/// Lets the store come back without any slot, while one of two agents holds slots and a third agent starts. The agents
+/// read the new era `delay_ms` after their last renewals. Returns the holders before and 2.5 s afterwards.
+async fn lose_slots(snapshot: &Rc<SnapshotSender>, delay_ms: u64) -> [BTreeMap<SlotId, Name>; 2] {
+    let agents = [
+        start("n-1", 11, snapshot).await,
+        start("n-2", 12, snapshot).await,
+    ];
+    wait_for_holders(snapshot, "n-").await;
+    actix_rt::time::sleep(Duration::from_millis(1_500)).await;
+    agents[1].quota.release().await;
+    let before = holders(snapshot);
+    let read_at = clock::now().plus(delay_ms);
+    let next = FleetSnapshot::clone(&snapshot.borrow())
+        .with_era(read_at, FeedPart::Fleet, 1)
+        .with_changes(clock::now(), FeedPart::Fleet, &[], 5);
+    snapshot.send_replace(Rc::new(next));
+    let _late = start("n-3", 13, snapshot).await;
+    actix_rt::time::sleep(Duration::from_millis(2_500)).await;
+    [before, holders(snapshot)]
+}
+
+/// Returns the holders of all slots.
+fn holders(snapshot: &SnapshotSender) -> BTreeMap<SlotId, Name> {
+    let snapshot = snapshot.borrow();
+    let slots = snapshot.quota_slots.iter();
+    slots
+        .map(|(slot, held)| (*slot, Name::clone(&held.record.node)))
+        .collect()
+}
+
+/// Guards against slots without a holder until the leases of an earlier era have ended, and against claims meanwhile of
+/// slots that the agent did not hold, or held under a lease that may have ended before the store stopped.
+#[gtest]
+fn run_new_era_claims_remembered_slots_only() {
+    actix_rt::System::new().block_on(async {
+        for delay_ms in [0, 10_000] {
+            let rules = [tenant("busy", 100.0, 9.0)];
+            let snapshot: Rc<SnapshotSender> =
+                Rc::new(watch::Sender::new(Rc::new(snapshot_of(&rules))));
+            let [before, after] = lose_slots(&snapshot, delay_ms).await;
+            expect_that!(before.len(), gt(0));
+            if delay_ms > 0 {
+                expect_that!(after.len(), eq(0));
+                continue;
+            }
+            expect_that!(after, eq(&before));
+            wait_for_holders(&snapshot, "n-").await;
+        }
+    });
+}
+
 /// Guards against slots that are claimed, and messages that are sent, without any tenant with a quota.
 #[gtest]
 fn run_without_quotas_writes_nothing() {
--- a/crates/policy/src/quota/claims.rs
+++ b/crates/policy/src/quota/claims.rs
@@ -69,6 +69,26 @@
     started_at: Option<Millis>,
 }
 
+/// Returns the slots to claim while leases of an earlier era of the store may still be in force: of those that this run
+/// held when the era began, `remembered`, the ones that have no record, or one of this instance under another lease.
+#[must_use]
+pub fn reclaims(
+    own: &str,
+    remembered: &BTreeSet<SlotId>,
+    records: &BTreeMap<SlotId, SlotView<'_>>,
+) -> Vec<SlotClaim> {
+    let claim = |slot: &SlotId| match records.get(slot) {
+        None => Some((*slot, 0)),
+        Some(view) if view.node == own && !view.is_current => Some((*slot, view.revision)),
+        Some(_) => None,
+    };
+    remembered
+        .iter()
+        .filter_map(claim)
+        .take(MAX_CLAIMS)
+        .collect()
+}
+
 impl ClaimPlanner {
     /// Creates a planner that has seen no free slot.
     #[must_use]
--- a/crates/policy/tests/test_quota.rs
+++ b/crates/policy/tests/test_quota.rs
@@ -6,6 +6,8 @@
 use jy_policy::quota::SharedBook;
 use jy_policy::quota::account::TenantAccount;
 use jy_policy::quota::bucket::CreditBucket;
+use jy_policy::quota::claims::SlotView;
+use jy_policy::quota::claims::reclaims;
 use jy_policy::quota::lender::CreditLender;
 use jy_policy::quota::lender::LeaseTerm;
 use jy_testutils::quota_check::End;
@@ -400,6 +402,26 @@
     expect_that!(world.claims, le(48 + 12));
 }
 
+/// Guards against claims that replace the record of another agent, or write a current one again, after the store came
+/// back from an older copy.
+#[gtest]
+fn reclaims_free_and_own_stale_slots() {
+    let slots: Vec<SlotId> = SlotId::all().take(5).collect();
+    let view = |node: &'static str, is_current: bool, revision: u64| SlotView {
+        node,
+        is_current,
+        revision,
+    };
+    let records = [
+        (slots[1], view("n", false, 7)),
+        (slots[2], view("n", true, 8)),
+        (slots[3], view("m", false, 9)),
+    ];
+    let remembered = slots[..4].iter().copied().collect();
+    let claims = reclaims("n", &remembered, &records.into());
+    expect_that!(claims, eq(&vec![(slots[0], 0), (slots[1], 7)]));
+}
+
 /// Guards against returned credit that is lent a second time beyond the quota: the bucket was full after the loan,
 /// so that nothing is missing in it.
 #[gtest]
