edge: keep a settled table settled when an owner puts back what it holds

An agent that read the new era later than others marked the table as incomplete again when it put back what its backend server holds, although another agent had settled the table: agents that started then held back once more. The mark stays as read if the store's table is of the present era and complete.

test_backend: announce_unsettled_era_new_incarnation_gets_new_fences checks both marks and failed before. test_backend and test_era_schedules pass.

--- a/crates/edge/src/restore.rs
+++ b/crates/edge/src/restore.rs
@@ -10,7 +10,8 @@
 
 /// Returns the table with the ranges that the local backend server holds, or `None` if the store's table has them.
 /// Without a table in the store, the one of the earlier era is the start. What an earlier incarnation of the backend
-/// server held goes to the present one, under new fences.
+/// server held goes to the present one, under new fences. The table is marked as incomplete, unless an agent for which
+/// the era is settled has written the store's table.
 #[must_use]
 pub fn table_with_held(
     now: Millis,
@@ -37,7 +38,10 @@
         table.with_new_fences(|range| range.owner == own && is_inherited(range))
     };
     let table = table.with_held(&own, &backend.held_grants(now, snapshot));
-    Some(table.with_incomplete(true))
+    let recorded = snapshot.ranges.get(service).map(|ranges| &ranges.table);
+    let is_settled =
+        recorded.is_some_and(|table| table.era() == snapshot.era && !table.is_incomplete());
+    Some(table.with_incomplete(!is_settled))
 }
 
 /// Returns the table with new fences for the ranges that the local backend server owns but does not hold and whose
--- a/crates/edge/tests/test_backend.rs
+++ b/crates/edge/tests/test_backend.rs
@@ -616,6 +616,21 @@
     };
     expect_that!(reply.ranges.len(), eq(1));
     expect_that!(reply.ranges[0].fence, eq(1 << 32));
+    // A late agent keeps a table settled that another agent has settled.
+    for is_incomplete in [false, true] {
+        let table = snapshot.ranges["s"].table.as_ref().clone();
+        let ranges = VersionedRanges {
+            table: Rc::new(table.with_era(1).with_incomplete(is_incomplete)),
+            revision: 6,
+        };
+        let snapshot = FleetSnapshot {
+            ranges: [("s".into(), ranges)].into(),
+            ..snapshot.clone()
+        };
+        let restored = restore::table_with_held(Millis(3_100), &backend, &snapshot, "s");
+        let restored = restored.expect("the store's table lacks the grant");
+        expect_that!(restored.is_incomplete(), eq(is_incomplete));
+    }
     let late = restore::table_with_held(Millis(9_000), &backend, &snapshot, "s");
     expect_that!(late, none(), "the hold of the earlier incarnation is over");
 }
