range manager: copy a table for the era only until it is settled

After a drill, each check of the key ranges copied the whole table to set its era and mark, also once the stored table had both. It is copied only while it is marked, of an earlier era, or below the first fence of the era.

test_table: precedes_era_until_settled covers the new predicate; the copy itself shows in no result, so that no test fails before. All tests of jy-ranges and jy-edge pass.

--- a/crates/edge/src/range_manager.rs
+++ b/crates/edge/src/range_manager.rs
@@ -232,7 +232,9 @@
         let Some(versioned) = snapshot.ranges.get(service) else {
             return self.first_table(now, &receivers, snapshot.era);
         };
-        let settled = (snapshot.era > 0).then(|| {
+        // Copied only when needed, since a check runs with each new snapshot.
+        let is_copied = snapshot.era > 0 && versioned.table.precedes_era(snapshot.era);
+        let settled = is_copied.then(|| {
             let table = RangeTable::clone(&versioned.table);
             table.with_era(snapshot.era).with_incomplete(false)
         });
--- a/crates/ranges/src/table.rs
+++ b/crates/ranges/src/table.rs
@@ -196,6 +196,13 @@
         self.incomplete
     }
 
+    /// Whether the table was written before an era of the store was settled, or its next fence is below the first one of
+    /// the era.
+    #[must_use]
+    pub const fn precedes_era(&self, era: u64) -> bool {
+        self.era < era || self.incomplete || self.next_fence < first_fence(era)
+    }
+
     /// Marks the table as written in an era of the store, or in a later one if it is already. Its next fence is above
     /// all that earlier eras gave out.
     #[must_use]
--- a/crates/ranges/tests/test_table.rs
+++ b/crates/ranges/tests/test_table.rs
@@ -146,6 +146,24 @@
     expect_that!(RangeTable::parse(&text).ok(), some(eq(&table)));
 }
 
+/// Guards against a settled table that is copied at each check, and against one that is used as if it were settled.
+#[gtest]
+fn precedes_era_until_settled() {
+    expect_that!(halves().precedes_era(0), eq(false));
+    expect_that!(halves().precedes_era(2), eq(true));
+    let table = halves().with_era(2);
+    expect_that!(table.precedes_era(2), eq(false));
+    expect_that!(
+        table.clone().with_incomplete(true).precedes_era(2),
+        eq(true)
+    );
+    expect_that!(table.precedes_era(3), eq(true));
+    let text = halves().with_era(2).to_text().expect("a table");
+    let next_fence = first_fence(2).to_string();
+    let low = RangeTable::parse(&text.replace(&next_fence, "2")).expect("a table");
+    expect_that!(low.precedes_era(2), eq(true));
+}
+
 /// Guards against records of another form in deployments whose store states no era.
 #[gtest]
 fn to_text_first_era_is_unchanged() {
