--- a/crates/edge/src/member.rs
+++ b/crates/edge/src/member.rs
@@ -22,6 +22,7 @@
 use tokio::time::timeout;
 
 use crate::era::EraAuthority;
+use crate::era::StoreEra;
 use crate::feed::SnapshotSender;
 use crate::snapshot::FleetSnapshot;
 use crate::snapshot::instance_key;
@@ -76,10 +77,13 @@
     support: Rc<LocalSupport>,
     node: Name,
     restored: RestoredFn,
+    era: Rc<StoreEra>,
     changed: Notify,
     lease: Cell<GrantedLease>,
     /// Time until which the lease is certain to be in force.
     lease_until: Cell<Millis>,
+    /// The last renewals of the present lease and of the one before.
+    renewed: Cell<[RenewedLease; 2]>,
     written: Cell<WrittenRecord>,
     authority: Cell<EraAuthority>,
 }
@@ -91,6 +95,13 @@
     revision: u64,
 }
 
+/// A lease and the time until which its last renewal is certain to keep it in force.
+#[derive(Clone, Copy, Debug, Default)]
+struct RenewedLease {
+    lease: GrantedLease,
+    until: Millis,
+}
+
 impl LocalMember {
     /// Creates a membership without a lease or a record.
     #[must_use]
@@ -109,9 +120,11 @@
             support,
             node,
             restored: Rc::new(|_| true),
+            era: Rc::default(),
             changed: Notify::new(),
             lease: Cell::default(),
             lease_until: Cell::new(Millis::default()),
+            renewed: Cell::default(),
             written: Cell::default(),
             authority: Cell::default(),
         }
@@ -133,6 +146,13 @@
         self
     }
 
+    /// Sets the newest era that the store has stated to this agent.
+    #[must_use]
+    pub fn with_era(mut self, era: Rc<StoreEra>) -> Self {
+        self.era = era;
+        self
+    }
+
     /// Returns until when the agent may grant keys; no other agent takes them before.
     ///
     /// After the store came back from an older copy, renewals count only once the store's tables name the owner again:
@@ -157,13 +177,51 @@
         })
     }
 
-    /// Applies a commit of further records under the lease.
+    /// Returns the lease of the agent's record if `era` granted it.
+    #[must_use]
+    pub fn lease_term_of(&self, era: u64) -> Option<LeaseTerm> {
+        self.lease_term().filter(|_| self.lease.get().era == era)
+    }
+
+    /// Whether the lease that `era` granted under an id was certain to be in force at a time.
+    #[must_use]
+    pub fn was_in_force(&self, id: u64, era: u64, at: Millis) -> bool {
+        let lease = GrantedLease { id, era };
+        let mut renewed = self.renewed.get().into_iter();
+        renewed.any(|renewed| renewed.lease == lease && at < renewed.until)
+    }
+
+    /// Records a renewal of the present lease.
+    fn record_renewal(&self, until: Millis) {
+        self.lease_until.set(until);
+        let lease = self.lease.get();
+        let [newest, before] = self.renewed.get();
+        let before = if newest.lease == lease {
+            before
+        } else {
+            newest
+        };
+        self.renewed.set([RenewedLease { lease, until }, before]);
+    }
+
+    /// Applies a commit of further records under the lease, whose expected revisions are of `era`. It is not sent, and
+    /// counts as a conflict, if the store may be in another era by now; so does one that was applied in another era.
     ///
     /// # Errors
     ///
     /// Returns an error if the call to the store fails; the commit may take effect later all the same.
-    pub async fn commit(&self, commit: &StoreCommit) -> Result<CommitOutcome> {
-        self.store.commit(commit).await
+    pub async fn commit(&self, commit: &StoreCommit, era: u64) -> Result<CommitOutcome> {
+        if !self.era.may_commit(clock::now(), era) {
+            return Ok(CommitOutcome::Conflict);
+        }
+        let outcome = self.store.commit(commit).await?;
+        let is_other_era =
+            matches!(outcome, CommitOutcome::Applied { era: applied, .. } if applied != era);
+        Ok(if is_other_era {
+            CommitOutcome::Conflict
+        } else {
+            outcome
+        })
     }
 
     /// Requests an immediate check of the record, since its contents have changed.
@@ -213,7 +271,7 @@
             // The record is written once the feed has read the store's records in the era of the lease.
             return Ok(false);
         }
-        self.lease_until.set(sent_at.plus(LEASE_MS));
+        self.record_renewal(sent_at.plus(LEASE_MS));
         let status = self.record_status();
         if status == RecordStatus::Unconfirmed {
             return Ok(false);
--- a/crates/edge/src/restore.rs
+++ b/crates/edge/src/restore.rs
@@ -10,7 +10,8 @@
 
 /// Returns the table with the ranges that the local backend server holds, or `None` if the store's table has them.
 /// Without a table in the store, the one of the earlier era is the start. What an earlier incarnation of the backend
-/// server held goes to the present one, under new fences.
+/// server held goes to the present one, under new fences. The table is marked as incomplete, unless an agent for which
+/// the era is settled has written the store's table.
 #[must_use]
 pub fn table_with_held(
     now: Millis,
@@ -20,7 +21,7 @@
 ) -> Option<RangeTable> {
     let own = backend.owner()?;
     let table = snapshot.table(service)?.clone().with_era(snapshot.era);
-    let inherited = backend.inherited_grants(now);
+    let inherited = backend.inherited_grants(now, snapshot, service);
     let is_inherited = |range: &KeyRange| {
         let mut grants = inherited.iter();
         grants.any(|grant| grant.first <= range.last && range.first <= grant.last)
@@ -36,8 +37,11 @@
         let table = table.with_held(&own, &inherited);
         table.with_new_fences(|range| range.owner == own && is_inherited(range))
     };
-    let table = table.with_held(&own, &backend.held_grants(now));
-    Some(table.with_incomplete(true))
+    let table = table.with_held(&own, &backend.held_grants(now, snapshot));
+    let recorded = snapshot.ranges.get(service).map(|ranges| &ranges.table);
+    let is_settled =
+        recorded.is_some_and(|table| table.era() == snapshot.era && !table.is_incomplete());
+    Some(table.with_incomplete(!is_settled))
 }
 
 /// Returns the table with new fences for the ranges that the local backend server owns but does not hold and whose
--- a/crates/edge/tests/test_era.rs
+++ b/crates/edge/tests/test_era.rs
@@ -19,16 +19,20 @@
 use jy_edge::feed::answer_relay;
 use jy_edge::feed::relay_query;
 use jy_edge::member::LEASE_MS;
+use jy_edge::member::LocalMember;
 use jy_edge::snapshot::FleetSnapshot;
 use jy_edge::snapshot::instance_key;
 use jy_edge::snapshot::leaving_key;
 use jy_edge::snapshot::quota_slot_key;
 use jy_edge::snapshot::ranges_key;
+use jy_edge::support::LocalSupport;
 use jy_feed::replica::RecordReplica;
 use jy_http::pool::ConnectionPool;
 use jy_kernel::clock;
+use jy_platform::store::CommitOutcome;
 use jy_platform::store::StoreAnswer;
 use jy_platform::store::StoreClient;
+use jy_platform::store::StoreCommit;
 use jy_platform::store::StoreError;
 use jy_ranges::table::RangeOwner;
 use jy_ranges::table::RangeTable;
@@ -144,7 +148,7 @@
 }
 
 /// Guards against holders of quota slots that go on by records that the copy lacks, and against claims of their slots
-/// while they may still lend.
+/// while they may still lend, also by an agent that starts after the drill.
 #[gtest]
 fn with_era_forgets_holders_until_leases_have_ended() {
     let slot = SlotId { part: 1, group: 7 };
@@ -157,7 +161,12 @@
     let held = record(quota_slot_key(slot), 49, Some(text));
     let first = apply_list(Default::default(), 10, 3, vec![instance(50), held], 50);
     expect_that!(first.1.quota_slots.contains_key(&slot), eq(true));
-    expect_that!(first.1.leases_ended_at(), eq(Millis::default()));
+    // The drill may have been just before this agent started.
+    let starts_to_claim_at = first.1.leases_ended_at();
+    expect_that!(starts_to_claim_at, ge(Millis(10).plus(LEASE_MS)));
+    expect_that!(starts_to_claim_at, lt(Millis(10).plus(SETTLE_MS)));
+    let without_eras = apply_list(Default::default(), 10, 0, vec![instance(50)], 50);
+    expect_that!(without_eras.1.leases_ended_at(), eq(Millis::default()));
     let (_, snapshot) = apply_list(first, 100_000, 4, vec![instance(30)], 40);
     expect_that!(snapshot.quota_slots.is_empty(), eq(true));
     expect_that!(
@@ -227,6 +236,32 @@
     expect_that!(listed(2, table(2, true)), eq(held_back));
 }
 
+/// Guards against a table of a service that nobody manages any more, which keeps its earlier era for good, and holds back
+/// every agent that starts.
+#[gtest]
+fn with_changes_unmanaged_table_does_not_hold_back() {
+    let ranges = |service: &str, table: RangeTable| {
+        let text = table.to_text().expect("a table can be encoded").to_string();
+        record(ranges_key(service), 30, Some(text))
+    };
+    for (unmanaged, managed) in [("a", "b"), ("b", "a")] {
+        let mut records = vec![
+            ranges(unmanaged, table(1, false)),
+            ranges(managed, table(2, false)),
+        ];
+        records.sort_by(|one, other| one.key.cmp(&other.key));
+        let (_, snapshot) = apply_list(Default::default(), 1_000, 2, records, 40);
+        expect_that!(snapshot.is_era_settled(Millis(1_000)), eq(true));
+    }
+    // Without a table of the present era the era may not be settled.
+    let records = vec![ranges("a", table(1, false)), ranges("b", table(2, true))];
+    let (_, snapshot) = apply_list(Default::default(), 1_000, 2, records, 40);
+    expect_that!(snapshot.is_era_settled(Millis(1_000)), eq(false));
+    let settled = [ranges("b", table(2, false))];
+    let snapshot = snapshot.with_changes(Millis(3_000), FeedPart::Fleet, &settled, 50);
+    expect_that!(snapshot.is_era_settled(Millis(3_000)), eq(true));
+}
+
 /// Guards against an agent that starts late in the hold-back and holds back again for as long.
 #[gtest]
 fn with_changes_settled_table_ends_hold_back() {
@@ -261,6 +296,55 @@
     expect_that!(era.may_commit(Millis(9_000), 1), eq(false), "a late answer");
 }
 
+/// Guards against claims and releases of quota slots with revisions that may have been issued again.
+#[gtest]
+fn commit_of_other_era_is_conflict() {
+    let snapshot: Rc<SnapshotSender> = Rc::new(watch::Sender::new(Rc::default()));
+    let sent = Rc::new(Cell::new(0));
+    let count = Rc::clone(&sent);
+    let store = StoreClient::with_call(Rc::new(move |_, _| {
+        count.set(count.get() + 1);
+        let body = Bytes::from_static(br#"{"revision":7}"#);
+        let answer = StoreAnswer::new(200, body).with_era(2);
+        Box::pin(async move { Ok(answer) })
+    }));
+    let era = Rc::new(StoreEra::new());
+    let support = LocalSupport::new("n".into(), "z".into(), "run".into(), Rc::clone(&snapshot));
+    let member = LocalMember::new(
+        store,
+        snapshot,
+        "n".into(),
+        Rc::new(|| unreachable!("no record is written")),
+        Rc::new(support),
+    )
+    .with_era(Rc::clone(&era));
+    let commit = |read_era: u64| {
+        let commit = StoreCommit::default();
+        let end = actix_rt::System::new().block_on(member.commit(&commit, read_era));
+        end.expect("an answer")
+    };
+    let applied = CommitOutcome::Applied {
+        revision: 7,
+        era: 2,
+    };
+    expect_that!(commit(2), eq(applied), "the store has stated no era yet");
+    expect_that!(commit(1), eq(CommitOutcome::Conflict));
+    expect_that!(sent.get(), eq(2));
+    era.record(clock::now(), Some(2));
+    expect_that!(commit(1), eq(CommitOutcome::Conflict));
+    expect_that!(
+        sent.get(),
+        eq(2),
+        "a commit that rests on era 1 is not sent"
+    );
+    expect_that!(commit(2), eq(applied));
+    let stale = Rc::new(StoreEra::new());
+    stale.record(clock::now().minus(2_500), Some(2));
+    let member = member.with_era(stale);
+    let end = actix_rt::System::new().block_on(member.commit(&StoreCommit::default(), 2));
+    expect_that!(end.expect("no call"), eq(CommitOutcome::Conflict));
+}
+
 /// Returns records of era 1, complete up to revision 6, as an agent relays them.
 fn relayed() -> RelayedRecords {
     let list = RecordBatch {
