gateway: wait for another owner only of keys

After a 421 the gateway waited for another owner also for services without keys. Their owner never changes, so the whole wait passed although another gate could answer, and a running hedge was not polled meanwhile.

The gateway now waits only if the service is keyed and no attempt is running. Otherwise the agent stays among those that are not asked again.

--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -532,7 +532,8 @@
                         call.tried.remove(&node);
                     }
                     let is_moving = matches!(cause, NotRunCause::NotHolder | NotRunCause::Disowned);
-                    if is_moving && may_start {
+                    // Only a key has another owner to wait for.
+                    if is_moving && is_keyed && may_start && attempts.is_empty() {
                         call.tried.remove(&node);
                         self.wait_for_owner_change(call).await;
                     }
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -704,3 +704,59 @@
         expect_that!(memory.used_bytes(), eq(0));
     });
 }
+
+/// Serves a request through two gates. The one that is asked first does not own the backend server any more, after
+/// `disowned_ms` milliseconds, and the other one answers after `answer_ms`. Returns the status and the time it took.
+fn serve_disowned(objective_ms: u64, disowned_ms: u64, answer_ms: u64) -> (StatusCode, u64) {
+    actix_rt::System::new().block_on(async {
+        let is_first = Rc::new(Cell::new(true));
+        let handler: Handler = Rc::new(move |_, _| {
+            let (delay_ms, outcome) = if is_first.replace(false) {
+                let disowned = GateOutcome::NotRun {
+                    cause: NotRunCause::Disowned,
+                    retry_ms: 0,
+                };
+                (disowned_ms, disowned)
+            } else {
+                (answer_ms, answered())
+            };
+            Box::pin(async move {
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                encode_report(GateReport {
+                    outcome,
+                    load: None,
+                })
+            })
+        });
+        let gates = [
+            serve_gate(Rc::clone(&handler)).await,
+            serve_gate(handler).await,
+        ];
+        let mut routes = routes(false, true);
+        routes.routes[0].objective_ms = objective_ms;
+        let mut snapshot = snapshot(routes, gates[0], None);
+        let mut second = snapshot.instances["other"].clone();
+        let mut record = (*second.record).clone();
+        record.node = "second".into();
+        record.gate = gates[1];
+        second.record = Rc::new(record);
+        snapshot.instances.insert("second".into(), second);
+        let request = HttpRequest::new(Method::GET, "/p/x")
+            .with_header("host", "h.example")
+            .with_header("x-request-id", "r1")
+            .with_header("x-deadline-ms", "3000");
+        let received_at = clock::now();
+        let response = gateway(snapshot).serve(request, received_at).await;
+        (response.status, clock::now().since(received_at))
+    })
+}
+
+/// Guards against a wait for another owner of a service without keys, which has none, and against a hedge that is not
+/// polled during such a wait.
+#[gtest]
+fn serve_disowned_without_keys_asks_other_gate_at_once() {
+    let retried = serve_disowned(2_000, 1, 1);
+    expect_that!(retried, (eq(StatusCode::OK), lt(1_000)));
+    let hedged = serve_disowned(200, 200, 300);
+    expect_that!(hedged, (eq(StatusCode::OK), lt(1_000)));
+}
