admission: end waits at a backend server that has stopped

Overdue running work counted as a quarter of its mean for ever, and each check extended the wait, so requests waited almost until their deadline at a backend server that had stopped.

A wait is extended only if some running request has ended since it began or was last extended. Running work that is overdue by more than four times its mean counts at its elapsed time. wait_longer_follows_forecast now ends a request before it expects an extension, and expects none before that.

wait_longer_without_ended_request_is_refused fails before (extended twice without an ended request) and passes after, as do the other tests of admission and forecast.

--- a/crates/edge/src/queue_wait.rs
+++ b/crates/edge/src/queue_wait.rs
@@ -58,7 +58,7 @@
                 return signal.map_err(|_| "overtaken");
             }
             let now = clock::now();
-            let state = self.state.borrow();
+            let mut state = self.state.borrow_mut();
             // The forecast does not know of the limit on starts while the backend server is cold.
             let is_cold = state.cold_start_limiter.is_cold(now);
             match state.queue.wait_longer(now, ticket) {
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -39,6 +39,10 @@
 /// Lower bound on the expected remaining work of a running request, as a share of its mean work.
 const MIN_REMAINING_SHARE: f64 = 0.25;
 
+/// A running request that has taken more than this multiple of its mean work is expected to take as long again. The
+/// backend server may have stopped.
+const OVERDUE_RATIO: f64 = 4.0;
+
 /// Properties of a request that asks for admission.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdmissionRequest {
@@ -115,6 +119,8 @@
     /// Waiting requests, most often in order of rank: sorting them again then takes linear time.
     waiting: Vec<WaitingWork>,
     running: BTreeMap<u64, RunningWork>,
+    /// Number of running requests that have ended.
+    ended: u64,
     shares: TenantShares,
     forecast: CapacityForecast,
     places: RetryPlaces,
@@ -135,6 +141,8 @@
     has_room: bool,
     /// Whether the request waits although it will be late.
     waits_late: bool,
+    /// Number of ended requests when the request was queued, or when its wait was last extended.
+    ended_before: u64,
     rank: WorkRank,
 }
 
@@ -175,6 +183,7 @@
             offered: BTreeMap::new(),
             waiting: Vec::new(),
             running: BTreeMap::new(),
+            ended: 0,
             shares: TenantShares::new(),
             forecast: CapacityForecast::new(),
             places: RetryPlaces::new(),
@@ -244,6 +253,7 @@
             is_protected: false,
             has_room,
             waits_late: false,
+            ended_before: self.ended,
             rank: WorkRank::default(),
         };
         let wait_ms = self.rank_and_wait_ms(now, &mut work);
@@ -424,16 +434,23 @@
         self.is_late_wait_useful(now, work, wait_ms)
     }
 
-    /// Returns until when a waiting request may go on waiting, if the forecast says that it will start in time.
+    /// Extends the wait of a waiting request, if the forecast says that it will start in time, and returns its new end.
+    ///
+    /// Since its wait began or was last extended, some running request must have ended: the forecast does not notice
+    /// that the backend server has stopped.
     #[must_use]
-    pub fn wait_longer(&self, now: Millis, ticket: u64) -> Option<Millis> {
-        let work = self.waiting.iter().find(|work| work.ticket == ticket)?;
-        let mut work = work.clone();
+    pub fn wait_longer(&mut self, now: Millis, ticket: u64) -> Option<Millis> {
+        let index = self.waiting.iter().position(|work| work.ticket == ticket)?;
+        let mut work = self.waiting.get(index)?.clone();
+        if work.ended_before == self.ended {
+            return None;
+        }
         let wait_ms = self.rank_and_wait_ms(now, &mut work);
         let slack_ms = slack_ms(now, work.request.deadline, &work.request);
         if slack_ms < 1.0 || !self.is_late_wait_useful(now, &work, wait_ms) {
             return None;
         }
+        self.waiting.get_mut(index)?.ended_before = self.ended;
         Some(now.plus((slack_ms * FORECAST_WAIT_SHARE) as u64))
     }
 
@@ -507,6 +524,7 @@
     /// Removes a request, whether it waits or runs.
     pub fn remove(&mut self, ticket: u64) {
         if self.running.remove(&ticket).is_some() {
+            self.ended += 1;
             return;
         }
         let index = self.waiting.iter().position(|work| work.ticket == ticket);
@@ -547,6 +565,9 @@
     /// Returns the expected remaining work, in milliseconds.
     fn remaining_ms(&self, now: Millis) -> f64 {
         let elapsed = now.since(self.started) as f64;
+        if elapsed > self.work_ms * OVERDUE_RATIO {
+            return elapsed;
+        }
         (self.work_ms - elapsed).max(self.work_ms * MIN_REMAINING_SHARE)
     }
 }
--- a/crates/policy/tests/test_admission.rs
+++ b/crates/policy/tests/test_admission.rs
@@ -228,3 +228,38 @@
     expect_that!(returning(3_000).leaves_room(Millis(2_100)), is_false());
     expect_that!(returning(4_000).leaves_room(Millis(2_100)), is_true());
 }
+
+/// Guards against a request that waits almost until its deadline at a backend server that has stopped, and against one
+/// that is refused although requests still end.
+#[gtest]
+fn wait_longer_without_ended_request_is_refused() {
+    let request = |now| AdmissionRequest {
+        tenant: Some("t".into()),
+        first_sent: Millis(now),
+        objective: Millis(now + 1_000),
+        deadline: Millis(now + 5_000),
+        work_ms: 60.0,
+        ..LONG_DEADLINE
+    };
+    let mut queue = WorkQueue::new(6);
+    // Light load, so that the forecast expects free capacity.
+    let mut now = 1_000;
+    for ticket in 0..75 {
+        queue.offer(Millis(now), ticket, request(now));
+        queue.start(Millis(now));
+        queue.remove(ticket);
+        now += 40;
+    }
+    for ticket in 100..=106 {
+        queue.offer(Millis(now), ticket, request(now));
+        queue.start(Millis(now));
+    }
+    expect_that!((queue.running(), queue.waiting()), eq((6, 1)));
+    expect_that!(queue.wait_longer(Millis(now + 3_000), 106), none());
+    queue.remove(100);
+    expect_that!(
+        queue.wait_longer(Millis(now + 3_000), 106),
+        some(anything())
+    );
+    expect_that!(queue.wait_longer(Millis(now + 3_500), 106), none());
+}
--- a/crates/policy/tests/test_forecast.rs
+++ b/crates/policy/tests/test_forecast.rs
@@ -169,6 +169,10 @@
         ..request(Millis(5_000))
     };
     let ticket = played.offer(Millis(5_000), late).expect("it is queued");
+    let before = played.queue.wait_longer(Millis(6_000), ticket);
+    expect_that!(before, none(), "no request has ended");
+    let (_, ended) = played.running.pop().expect("a request runs");
+    played.queue.remove(ended);
     let until = played.queue.wait_longer(Millis(6_000), ticket);
     expect_that!(until, some(gt(Millis(6_000))));
     expect_that!(until, some(lt(Millis(7_500))));
