places: bound how long one caller takes a class's places

A caller refused while almost no capacity was free took places for minutes, since the next free place moved by the whole spacing. It now moves at most past the window of the caller.

--- a/crates/policy/src/places.rs
+++ b/crates/policy/src/places.rs
@@ -51,7 +51,9 @@
         let next = self.next.entry(class).or_default();
         let place = window.earliest.max(*next);
         if place <= window.latest && spacing_ms.is_finite() {
-            *next = place.plus(spacing_ms.ceil() as u64);
+            // The capacity may soon be free again: no class is without places beyond the present window.
+            let after_window = window.latest.plus(1);
+            *next = place.plus(spacing_ms.ceil() as u64).min(after_window);
             return place;
         }
         self.spread = (self.spread + SPREAD_STEP).fract();
--- a/crates/policy/tests/test_places.rs
+++ b/crates/policy/tests/test_places.rs
@@ -49,3 +49,18 @@
     let urgent = places.assign(Millis(1_000), CLASS - 1, window, 500.0);
     expect_that!(urgent, eq(Millis(1_200)));
 }
+
+/// Guards against places that stay taken for minutes after one caller was refused while almost no capacity was free.
+#[gtest]
+fn assign_little_free_capacity_blocks_one_window() {
+    let mut places = RetryPlaces::new();
+    let window_at = |now: u64| ReturnWindow {
+        earliest: Millis(now),
+        latest: Millis(now + 1_600),
+    };
+    places.assign(Millis(1_000), CLASS, window_at(1_000), 1e6);
+    let blocked = places.assign(Millis(1_100), CLASS, window_at(1_000), 20.0);
+    expect_that!(blocked, gt(Millis(1_000)));
+    let next = places.assign(Millis(3_000), CLASS, window_at(3_000), 20.0);
+    expect_that!(next, eq(Millis(3_000)));
+}
