memory: keep two agents' responses from waiting for each other

Two agents whose budgets each hold responses for the other waited for each other until the deadline: a response read from the own backend server is written to the other agent, which must find memory of its own to read it.

Responses of the own backend server now leave room for the largest response of another agent, and requests leave room for two of the largest responses. Each kind waits in its own order. With the smallest memory_mb that lowers the limit on requests from 19.2 to 15.6 MB; from about 42 MB of budget on it stays as it was. Budgets below 16 MiB, which the settings do not allow, keep no such room.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use jy_http::memory_budget::MemoryBudget;
+use jy_http::memory_budget::MemoryKind;
 use jy_http::pool::ConnectionPool;
 use jy_kernel::clock;
 use jy_policy::admission::Admission;
@@ -165,7 +166,8 @@
     /// agents.
     #[must_use]
     pub fn with_memory(mut self, memory: Rc<MemoryBudget>) -> Self {
-        self.pool = ConnectionPool::new().with_memory(memory);
+        let pool = ConnectionPool::new().with_memory(memory);
+        self.pool = pool.with_response_kind(MemoryKind::BackendResponse);
         self
     }
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -260,7 +260,8 @@
         set(&memory.bodies, budget.used_bytes_of(MemoryKind::Body));
         set(
             &memory.responses,
-            budget.used_bytes_of(MemoryKind::Response),
+            budget.used_bytes_of(MemoryKind::Response)
+                + budget.used_bytes_of(MemoryKind::BackendResponse),
         );
         set(&memory.waiting, budget.waiting());
         let refused = &memory.refused;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -31,6 +31,7 @@
 use tokio::time::timeout;
 
 use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::MemoryKind;
 use crate::memory_budget::SMALL_BODY_BYTES;
 use crate::message::HttpRequest;
 use crate::message::HttpResponse;
@@ -126,6 +127,7 @@
     carried_ids: BTreeSet<u64>,
     /// Budget from which responses take memory as they are read.
     memory: Option<Rc<MemoryBudget>>,
+    response_kind: MemoryKind,
 }
 
 /// A response, and its connection if that can carry another request.
@@ -168,13 +170,15 @@
             reuse_deadline: now.plus(DEFAULT_REUSE_MS),
             carried_ids: BTreeSet::new(),
             memory: None,
+            response_kind: MemoryKind::default(),
         })
     }
 
-    /// Sets the budget from which responses take memory as they are read.
+    /// Sets the budget from which responses take memory as they are read, and as what they are counted.
     #[must_use]
-    pub fn with_memory(mut self, memory: Option<Rc<MemoryBudget>>) -> Self {
+    pub fn with_memory(mut self, memory: Option<Rc<MemoryBudget>>, kind: MemoryKind) -> Self {
         self.memory = memory;
+        self.response_kind = kind;
         self
     }
 
@@ -234,6 +238,7 @@
                 reader: &mut reader,
                 buffer: &mut self.buffer,
                 memory: self.memory.as_ref(),
+                kind: self.response_kind,
             };
             let response_future = read_matching_response(&mut source, codec, check, is_head);
             tokio::pin!(response_future);
--- a/crates/http/src/client/response.rs
+++ b/crates/http/src/client/response.rs
@@ -49,6 +49,8 @@
     pub(super) buffer: &'a mut BytesMut,
     /// Budget from which responses take memory.
     pub(super) memory: Option<&'a Rc<MemoryBudget>>,
+    /// As what responses are counted.
+    pub(super) kind: MemoryKind,
 }
 
 /// Memory for the body of one response.
@@ -89,7 +91,7 @@
     /// Returns the memory of a body of which nothing is known yet.
     fn body_memory(&self) -> BodyMemory {
         let memory = self.memory;
-        BodyMemory(memory.map(|memory| memory.share(MemoryKind::Response)))
+        BodyMemory(memory.map(|memory| memory.share(self.kind)))
     }
 }
 
--- a/crates/http/src/memory_budget.rs
+++ b/crates/http/src/memory_budget.rs
@@ -5,8 +5,9 @@
 //! with a part of a request on each. Each is within the limits on one message, but together they exceed the memory of
 //! the process.
 //!
-//! Three levels of one sum: large bodies fit up to [`LARGE_BODY_SHARE`] of it, other requests up to
-//! [`REQUEST_SHARE`], responses up to the whole. Why nothing waits without an end:
+//! Levels of one sum: large bodies fit up to [`LARGE_BODY_SHARE`] of it, other requests up to [`REQUEST_SHARE`] or
+//! what leaves room for two of the largest responses, responses of the agent's own backend server up to what leaves
+//! room for one, and responses of other agents up to the whole. Why nothing waits without an end:
 //!
 //! - Requests never wait. What does not fit is refused before any of it is sent on.
 //! - Only responses wait, and one that waits holds no more than [`SMALL_RESPONSE_BYTES`], which the limit does not
@@ -14,10 +15,13 @@
 //!   each other.
 //! - A response that has its memory needs nothing else, neither to be read nor to be written. It ends with the
 //!   deadline of its request, with its caller's reading, or when the caller has read nothing for some seconds.
-//! - Requests can't take the part above [`REQUEST_SHARE`]. It is larger than the largest response, so a response
-//!   that waits depends on other responses only, never on a request that may itself wait for a response.
+//! - Requests leave room for responses of both kinds, so a response that waits depends on other responses only, never
+//!   on a request that may itself wait for a response.
+//! - A response of the own backend server may be written to another agent, which may have to wait for memory to read
+//!   it. It leaves room for a response of another agent, which is written to a caller. So two agents do not wait for
+//!   each other.
 //!
-//! Responses that wait are served in their order, so that small ones do not pass a large one for ever.
+//! Responses of one kind that wait are served in their order, so that small ones do not pass a large one for ever.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -26,14 +30,15 @@
 
 use tokio::sync::Notify;
 
+use crate::client::MAX_RESPONSE_BYTES;
+
 /// Bodies up to this size may use more of the budget, in bytes, so that large ones do not crowd them out.
 pub const SMALL_BODY_BYTES: usize = 64 * 1024;
 /// Responses up to this size never wait for memory, in bytes. They are counted.
 pub const SMALL_RESPONSE_BYTES: usize = 16 * 1024;
 /// Share of the budget up to which large bodies fit.
 pub const LARGE_BODY_SHARE: f64 = 0.75;
-/// Share of the budget up to which requests fit. With the smallest memory that the settings allow, the rest still
-/// holds the largest response.
+/// Share of the budget up to which requests fit, if the rest holds two of the largest responses.
 pub const REQUEST_SHARE: f64 = 0.8;
 
 /// Memory of a process apart from what the budget counts, in megabytes.
@@ -43,15 +48,22 @@
 const BUDGET_SHARE: f64 = 0.75;
 const BYTES_PER_MEGABYTE: f64 = 1_000_000.0;
 
+/// Budgets that are smaller keep no room for single responses, in bytes: it would be half of them. The settings allow
+/// none of these.
+const MIN_RESERVING_BYTES: usize = 4 * MAX_RESPONSE_BYTES;
+
 /// What memory is used for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum MemoryKind {
     /// Heads of requests, and bytes read ahead.
     Head,
     /// Bodies of requests.
     Body,
-    /// Responses.
+    /// Responses of other agents, and those of the agent itself.
+    #[default]
     Response,
+    /// Responses of the agent's own backend server.
+    BackendResponse,
 }
 
 /// The memory that connections hold.
@@ -60,14 +72,15 @@
     limit_bytes: usize,
     request_limit_bytes: usize,
     large_body_limit_bytes: usize,
+    backend_limit_bytes: usize,
     used_bytes: Cell<usize>,
     /// The same bytes by [`MemoryKind`].
-    kind_bytes: [Cell<usize>; 3],
+    kind_bytes: [Cell<usize>; 4],
     peak_bytes: Cell<usize>,
     refused: Cell<u64>,
     stalled: Cell<u64>,
-    /// Tickets of the responses that wait, in their order.
-    waiting: RefCell<BTreeSet<u64>>,
+    /// Kinds and tickets of the responses that wait, in the order of each kind.
+    waiting: RefCell<BTreeSet<(MemoryKind, u64)>>,
     next_ticket: Cell<u64>,
     released: Notify,
 }
@@ -83,6 +96,7 @@
 /// Place of a response that waits, until it is dropped.
 struct WaitGuard<'a> {
     budget: &'a MemoryBudget,
+    kind: MemoryKind,
     ticket: u64,
 }
 
@@ -91,10 +105,18 @@
     #[must_use]
     pub fn new(limit_bytes: usize) -> Self {
         let part = |share: f64| (limit_bytes as f64 * share) as usize;
+        let without = |responses: usize| {
+            if limit_bytes < MIN_RESERVING_BYTES {
+                limit_bytes
+            } else {
+                limit_bytes - responses * MAX_RESPONSE_BYTES
+            }
+        };
         Self {
             limit_bytes,
-            request_limit_bytes: part(REQUEST_SHARE),
-            large_body_limit_bytes: part(LARGE_BODY_SHARE),
+            request_limit_bytes: part(REQUEST_SHARE).min(without(2)),
+            large_body_limit_bytes: part(LARGE_BODY_SHARE).min(without(2)),
+            backend_limit_bytes: without(1),
             used_bytes: Cell::new(0),
             kind_bytes: Default::default(),
             peak_bytes: Cell::new(0),
@@ -143,6 +165,13 @@
         self.waiting.borrow().len()
     }
 
+    /// Returns the ticket of the first response of a kind that waits.
+    fn first_waiting(&self, kind: MemoryKind) -> Option<u64> {
+        let waiting = self.waiting.borrow();
+        let mut of_kind = waiting.range((kind, 0)..=(kind, u64::MAX));
+        of_kind.next().map(|(_, ticket)| *ticket)
+    }
+
     /// Returns the number of requests that were refused for lack of memory.
     #[must_use]
     pub const fn refused(&self) -> u64 {
@@ -224,6 +253,7 @@
         let budget = &self.budget;
         let limit_bytes = match self.kind {
             MemoryKind::Response => budget.limit_bytes,
+            MemoryKind::BackendResponse => budget.backend_limit_bytes,
             MemoryKind::Body if bytes > SMALL_BODY_BYTES => budget.large_body_limit_bytes,
             MemoryKind::Body | MemoryKind::Head => budget.request_limit_bytes,
         };
@@ -245,10 +275,10 @@
     /// needed: a response that waits while it holds memory could make others wait for ever.
     pub async fn wait_for(&mut self, bytes: usize) {
         let budget = Rc::clone(&self.budget);
-        if budget.waiting.borrow().is_empty() && self.grow_to(bytes) {
+        if budget.first_waiting(self.kind).is_none() && self.grow_to(bytes) {
             return;
         }
-        let guard = WaitGuard::new(&budget);
+        let guard = WaitGuard::new(&budget, self.kind);
         loop {
             let released = budget.released.notified();
             if guard.is_first() && self.grow_to(bytes) {
@@ -275,23 +305,29 @@
 }
 
 impl<'a> WaitGuard<'a> {
-    /// Takes the last place.
-    fn new(budget: &'a MemoryBudget) -> Self {
+    /// Takes the last place among the responses of a kind.
+    fn new(budget: &'a MemoryBudget, kind: MemoryKind) -> Self {
         let ticket = budget.next_ticket.get();
         budget.next_ticket.set(ticket + 1);
-        budget.waiting.borrow_mut().insert(ticket);
-        Self { budget, ticket }
+        budget.waiting.borrow_mut().insert((kind, ticket));
+        Self {
+            budget,
+            kind,
+            ticket,
+        }
     }
 
-    /// Whether all that came earlier have their memory or have ended.
+    /// Whether all of its kind that came earlier have their memory or have ended.
     fn is_first(&self) -> bool {
-        self.budget.waiting.borrow().first() == Some(&self.ticket)
+        self.budget.first_waiting(self.kind) == Some(self.ticket)
     }
 }
 
 impl Drop for WaitGuard<'_> {
     fn drop(&mut self) {
-        self.budget.waiting.borrow_mut().remove(&self.ticket);
+        let mut waiting = self.budget.waiting.borrow_mut();
+        waiting.remove(&(self.kind, self.ticket));
+        drop(waiting);
         self.budget.released.notify_waiters();
     }
 }
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -14,6 +14,7 @@
 use crate::client::ResponseCheck;
 use crate::client::Result;
 use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::MemoryKind;
 use crate::message::HttpRequest;
 use crate::message::HttpResponse;
 
@@ -35,6 +36,7 @@
 pub struct ConnectionPool {
     idle: RefCell<BTreeMap<SocketAddr, Vec<HttpConnection>>>,
     memory: Option<Rc<MemoryBudget>>,
+    response_kind: MemoryKind,
 }
 
 impl ConnectionPool {
@@ -51,7 +53,15 @@
         self
     }
 
-    /// Returns an empty pool with the same budget.
+    /// Sets as what responses are counted in the budget: [`MemoryKind::BackendResponse`] if the pool connects to the
+    /// agent's own backend server.
+    #[must_use]
+    pub const fn with_response_kind(mut self, kind: MemoryKind) -> Self {
+        self.response_kind = kind;
+        self
+    }
+
+    /// Returns an empty pool with the same budget, for responses of other agents.
     #[must_use]
     pub fn with_same_memory(&self) -> Self {
         Self {
@@ -94,7 +104,7 @@
             Some(connection) => connection,
             None => {
                 let connection = HttpConnection::connect(to, options.connect_timeout_ms).await?;
-                connection.with_memory(self.memory.clone())
+                connection.with_memory(self.memory.clone(), self.response_kind)
             }
         };
         let exchange_future = connection.exchange(request, check, options.max_bytes_per_ms);
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -257,7 +257,8 @@
             memory.used_bytes(),
             memory.used_bytes_of(MemoryKind::Head),
             memory.used_bytes_of(MemoryKind::Body),
-            memory.used_bytes_of(MemoryKind::Response),
+            memory.used_bytes_of(MemoryKind::Response)
+                + memory.used_bytes_of(MemoryKind::BackendResponse),
             memory.waiting(),
         );
     }
