gateway: return large failures instead of keeping them

A failure of up to 4 MiB was kept while the next attempt waited for memory. Requests whose failures filled the budget waited until their deadline.

A failure above SMALL_RESPONSE_BYTES is now returned to the caller at once, also if a hedge is running; smaller ones are retried as before.

--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -12,6 +12,7 @@
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
+use jy_http::memory_budget::SMALL_RESPONSE_BYTES;
 use jy_http::message::HttpRequest;
 use jy_http::message::HttpResponse;
 use jy_http::message::header_text;
@@ -516,8 +517,12 @@
                     if !is_failure {
                         return Ok(response);
                     }
-                    may_start = may_start && self.may_resend(call);
                     call.last_failure = "backend-failed";
+                    // A large failure holds memory that other responses may wait for.
+                    if response.body.len() > SMALL_RESPONSE_BYTES {
+                        return Ok(response);
+                    }
+                    may_start = may_start && self.may_resend(call);
                     call.failure_response = Some(response);
                 }
                 GateOutcome::NotRun { cause, retry_ms } => {
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -760,3 +760,37 @@
     let hedged = serve_disowned(200, 200, 300);
     expect_that!(hedged, (eq(StatusCode::OK), lt(1_000)));
 }
+
+/// Guards against large failures that are kept while the next attempts wait for the memory that they take.
+#[gtest]
+fn serve_large_failures_are_not_kept_until_deadline() {
+    const BODY_BYTES: usize = 3 * 1024 * 1024;
+    actix_rt::System::new().block_on(async {
+        let mut failure = HttpResponse::new(StatusCode::INTERNAL_SERVER_ERROR, "");
+        failure.body = vec![1_u8; BODY_BYTES].into();
+        let gate = serve_slow_gate(200, GateOutcome::Answered(failure)).await;
+        let mut snapshot = snapshot(routes(false, true), gate, None);
+        let mut second = snapshot.instances["other"].clone();
+        let mut record = (*second.record).clone();
+        record.node = "second".into();
+        second.record = Rc::new(record);
+        snapshot.instances.insert("second".into(), second);
+        // Two failures fit, and no third response.
+        let memory = Rc::new(MemoryBudget::new(2 * BODY_BYTES + BODY_BYTES / 2));
+        let gateway = gateway_with_memory(snapshot, memory);
+        let received_at = clock::now();
+        let served = (0..2).map(|index| {
+            let request = HttpRequest::new(Method::GET, "/p/x")
+                .with_header("host", "h.example")
+                .with_header("x-request-id", &format!("r{index}"))
+                .with_header("x-deadline-ms", "3000");
+            Rc::clone(&gateway).serve(request, received_at)
+        });
+        let responses = futures_util::future::join_all(served).await;
+        for response in responses {
+            expect_that!(response.status, eq(StatusCode::INTERNAL_SERVER_ERROR));
+            expect_that!(response.body.len(), eq(BODY_BYTES));
+        }
+        expect_that!(clock::now().since(received_at), lt(1_500));
+    });
+}
