moving: let requests of returning callers wait for a moving key

The wait of a request with little time left is a share of the time until its objective, which has passed for a returning caller: it did not wait at all and asked the same gate four times at once.

The wait of the gate has no test of its own.

--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -794,3 +794,40 @@
         expect_that!(clock::now().since(received_at), lt(1_500));
     });
 }
+
+/// Guards against returning callers whose requests do not wait for a moving key, since their objective has passed.
+#[gtest]
+fn serve_returning_caller_waits_for_moving_key() {
+    actix_rt::System::new().block_on(async {
+        let report = GateReport {
+            outcome: GateOutcome::NotRun {
+                cause: NotRunCause::NotHolder,
+                retry_ms: 0,
+            },
+            load: None,
+        };
+        let gate = serve_other_gate(report, Rc::default()).await;
+        let mut routes = routes(true, true);
+        routes.routes[0].timeout_ms = 6_000;
+        let gateway = gateway(snapshot(routes, gate, None));
+        let serve = |time_left_ms: u64| {
+            let request = HttpRequest::new(Method::GET, "/p/x")
+                .with_header("host", "h.example")
+                .with_header("x-request-id", "r1")
+                .with_header("x-deadline-ms", &time_left_ms.to_string())
+                .with_header("x-shard-key", "77");
+            Rc::clone(&gateway).serve(request, clock::now())
+        };
+        // First attempts, from which the gateway learns the callers' time limit. Their answers are not awaited.
+        let first_attempts = (0..20).map(|_| serve(6_000));
+        let learning = futures_util::future::join_all(first_attempts);
+        expect_that!(
+            timeout(Duration::from_millis(300), learning).await,
+            err(anything())
+        );
+        let received_at = clock::now();
+        let response = serve(1_900).await;
+        expect_that!(response.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+        expect_that!(clock::now().since(received_at), ge(400));
+    });
+}
--- a/crates/policy/src/moving.rs
+++ b/crates/policy/src/moving.rs
@@ -20,6 +20,18 @@
 /// Share of the time left until the objective for which every other request waits: callers hardly notice it.
 const SHORT_WAIT_SHARE: f64 = 0.125;
 
+/// Returns the objective for [`max_wait_ms`] of a request on a route with an objective of `objective_ms` milliseconds.
+/// The objective of a returning caller may be over, and such a request waits as a first attempt does.
+#[must_use]
+pub fn wait_objective(
+    now: Millis,
+    objective: Millis,
+    objective_ms: u64,
+    deadline: Millis,
+) -> Millis {
+    objective.max(now.plus(objective_ms)).min(deadline)
+}
+
 /// Returns the longest time that a request waits for a key without an owner, in milliseconds.
 #[must_use]
 pub fn max_wait_ms(now: Millis, objective: Millis, deadline: Millis) -> u64 {
--- a/crates/policy/tests/test_moving.rs
+++ b/crates/policy/tests/test_moving.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use jy_policy::moving::TYPICAL_MOVE_GAP_MS;
 use jy_policy::moving::max_wait_ms;
+use jy_policy::moving::wait_objective;
 use jy_types::time::Millis;
 
 #[gtest]
@@ -27,3 +28,11 @@
     let wait_ms = max_wait_ms(Millis(2_000), Millis(800), Millis(3_000));
     expect_that!(wait_ms, eq(0));
 }
+
+/// Guards against returning callers whose requests do not wait, and against a wait beyond the deadline.
+#[gtest]
+fn wait_objective_past_counts_from_now() {
+    let objective = |deadline| wait_objective(Millis(2_000), Millis(800), 600, deadline);
+    expect_that!(objective(Millis(3_000)), eq(Millis(2_600)));
+    expect_that!(objective(Millis(2_300)), eq(Millis(2_300)));
+}
