gate: keep at most one timer for cold starts

Each offer and each ended request during a cold start began a timer whose successor began another. A timer is now started only if none is pending.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -81,6 +81,8 @@
     pub(crate) relative_service_time: ServiceTimeMean,
     /// When the backend server last reported its service time, and the value in percent of the usual one.
     pub(crate) reported_service_time: (Millis, u32),
+    /// Whether a timer will start queued requests.
+    pub(crate) has_start_timer: bool,
     /// Signals a queued request, by its ticket, that it may start.
     pub(crate) start_senders: BTreeMap<u64, oneshot::Sender<()>>,
     pub(crate) offered_work: OfferedWork,
@@ -143,6 +145,7 @@
             service_times: BTreeMap::new(),
             relative_service_time: ServiceTimeMean::new(),
             reported_service_time: (Millis::default(), 100),
+            has_start_timer: false,
             start_senders: BTreeMap::new(),
             offered_work: OfferedWork::new(),
             transfers: TransferQueue::new(link_bytes_per_ms),
@@ -502,11 +505,16 @@
         }
     }
 
-    /// Calls [`Self::start_queued`] after a delay.
+    /// Calls [`Self::start_queued`] after a delay, unless an earlier call is still to do so. The limit on cold starts
+    /// permits the next start at one point in time, whoever asks.
     fn start_queued_after(self: &Rc<Self>, delay_ms: u64) {
+        if std::mem::replace(&mut self.state.borrow_mut().has_start_timer, true) {
+            return;
+        }
         let gate = Rc::clone(self);
         actix_rt::spawn(async move {
             sleep(Duration::from_millis(delay_ms)).await;
+            gate.state.borrow_mut().has_start_timer = false;
             gate.start_queued();
         });
     }
--- a/crates/edge/tests/test_dispatch.rs
+++ b/crates/edge/tests/test_dispatch.rs
@@ -68,7 +68,7 @@
                 health_path: "/health".into(),
                 max_connections: 10,
                 cold_ms: 0,
-                cold_per_s: f64::INFINITY,
+                cold_per_s: 10.0,
                 keyed: false,
             },
         )]),
@@ -114,6 +114,11 @@
 
     /// Announces the incarnation that started at `started_at`.
     fn announce(&self, started_at: u64) {
+        self.announce_cold(started_at, 0);
+    }
+
+    /// Announces the incarnation that started at `started_at` and is cold for `cold_ms` milliseconds.
+    fn announce_cold(&self, started_at: u64, cold_ms: u64) {
         let announced = Announcement {
             incarnation: BackendIncarnation {
                 id: format!("i-{started_at}").into(),
@@ -125,7 +130,7 @@
             slots: 8,
             phase: BackendPhase::Serving,
             sequence: 1,
-            cold_ms: 0,
+            cold_ms,
             held: Vec::new(),
             released: Vec::new(),
         };
@@ -258,3 +263,31 @@
         expect_that!(is_sent, eq(true), "there is memory again");
     });
 }
+
+/// Guards against a cold start during which each offer starts one more timer, which starts the next one.
+#[gtest]
+fn serve_cold_backend_keeps_one_timer() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener.local_addr().expect("it has an address");
+        let memory = Rc::new(MemoryBudget::new(usize::MAX));
+        let fixture = Rc::new(GateFixture::new(address, memory));
+        fixture.announce_cold(1, 60_000);
+        let requests: Vec<_> = (0..20)
+            .map(|_| {
+                let fixture = Rc::clone(&fixture);
+                actix_rt::spawn(async move { fixture.serve(0).await })
+            })
+            .collect();
+        sleep(Duration::from_millis(20)).await;
+        expect_that!(fixture.gate.waiting().0, ge(5), "the test is void");
+        for request in &requests {
+            request.abort();
+        }
+        sleep(Duration::from_millis(5)).await;
+        // The gate is referred to by the fixture and by each pending timer.
+        expect_that!(Rc::strong_count(&fixture.gate), le(2));
+    });
+}
