admission: return the credit of protected requests that are refused late

refuse_late removed protected requests without returning the credit of their tenants, as remove does. There is no test: a protected request that waits and is then refused takes a longer build-up. All tests of jy-policy pass.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -326,6 +326,9 @@
                 ahead_ms += work.request.work_ms;
                 return true;
             }
+            if work.is_protected {
+                self.shares.return_credit(work.tenant);
+            }
             refused.push(work.ticket);
             false
         });
