held bytes: count only connections that the server ended

The gate's own time-outs counted as failures, so that a planned restart within 10 s counted as a crash and bounded bodies for 10 min.

Only failures whose connection the server ended count, and an announcement that the backend server leaves makes earlier ones forgotten.

dispatch_restart_after_time_outs_sets_no_bound: a bound of 6,291,456 bytes before, none after. record_restart_after_leaving_sets_no_bound is new with its function; its call on announcements has no test of its own.

--- a/crates/edge/src/announcements.rs
+++ b/crates/edge/src/announcements.rs
@@ -84,14 +84,17 @@
             let table = snapshot.table(&announced.service);
             let authority = self.member.authority();
             let now = clock::now();
-            return self
+            let outcome = self
                 .backend
                 .announce(now, address, announced, table, authority);
+            self.gate.forget_failures_if_leaving();
+            return outcome;
         }
         let (now, no_authority) = (clock::now(), Millis::default());
         let outcome = self
             .backend
             .announce(now, address, announced.clone(), None, no_authority);
+        self.gate.forget_failures_if_leaving();
         match outcome {
             AnnounceOutcome::Accepted(_) => {
                 AnnounceOutcome::Accepted(self.grant_after_moves(&announced, reply_by).await)
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -144,6 +144,13 @@
         is_held.then(|| HeldGuard { gate: self, bytes })
     }
 
+    /// Forgets failures that would make the end of the backend server count as a crash, if it leaves.
+    pub(crate) fn forget_failures_if_leaving(&self) {
+        if self.backend.leaving().is_some() {
+            self.state.borrow_mut().held_bytes.forget_failures();
+        }
+    }
+
     /// Measures the service time of a backend server that has just started, relative to that of a usual one, in
     /// percent. Returns `None` if its answers to status checks don't state it.
     pub(crate) async fn measure_service_time(&self, health_path: &str) -> Option<u32> {
@@ -285,7 +292,7 @@
                 log_bound(self.state.borrow_mut().held_bytes.record_refusal(now));
             }
         }
-        if error.may_have_run() && !is_leaving {
+        if error.is_cut() && !is_leaving {
             log_bound(self.state.borrow_mut().held_bytes.record_failure(now));
         }
         if error.may_have_run() {
--- a/crates/edge/tests/test_dispatch.rs
+++ b/crates/edge/tests/test_dispatch.rs
@@ -143,6 +143,11 @@
 
     /// Serves a request with a body of `length` bytes.
     async fn serve(&self, length: usize) -> GateOutcome {
+        self.serve_within(length, TIMEOUT_MS).await
+    }
+
+    /// Serves a request with a body of `length` bytes and a deadline in `timeout_ms` milliseconds.
+    async fn serve_within(&self, length: usize, timeout_ms: u64) -> GateOutcome {
         let now = clock::now();
         let request = HttpRequest::new(Method::POST, "/p")
             .with_header("host", "h.example")
@@ -157,8 +162,8 @@
             is_call: false,
             tenant: None,
             key_valid_until: Millis::MAX,
-            objective: now.plus(TIMEOUT_MS),
-            deadline: now.plus(TIMEOUT_MS),
+            objective: now.plus(timeout_ms),
+            deadline: now.plus(timeout_ms),
         };
         self.gate.serve(job).await.outcome
     }
@@ -291,3 +296,28 @@
         expect_that!(Rc::strong_count(&fixture.gate), le(2));
     });
 }
+
+/// Guards against a planned restart that counts as a crash since requests timed out before.
+#[gtest]
+fn dispatch_restart_after_time_outs_sets_no_bound() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener
+            .local_addr()
+            .expect("a bound socket has an address");
+        let fixture = GateFixture::new(address, Rc::new(MemoryBudget::new(usize::MAX)));
+        fixture.announce(1);
+        let timeout_ms = 2 * SENDING_MS;
+        let bodies = join_all((0..BODIES).map(|_| fixture.serve_within(BODY_BYTES, timeout_ms)));
+        let (outcomes, streams) =
+            futures_util::future::join(bodies, accept(&listener, BODIES)).await;
+        let is_unknown = |outcome: &GateOutcome| matches!(outcome, GateOutcome::Unknown { .. });
+        expect_that!(outcomes.iter().all(is_unknown), eq(true), "{outcomes:?}");
+        drop(streams);
+        fixture.announce(2);
+        let _timed_out = fixture.serve_within(0, SENDING_MS).await;
+        expect_that!(fixture.gate.held(clock::now()), eq((0, None)));
+    });
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -95,10 +95,18 @@
         to: SocketAddr,
         /// Description of the failure.
         cause: Name,
+        /// Whether the server ended the connection.
+        is_cut: bool,
     },
 }
 
 impl ExchangeError {
+    /// Whether the server ended the connection before its response was complete, unlike at a time-out.
+    #[must_use]
+    pub const fn is_cut(&self) -> bool {
+        matches!(self, Self::OutcomeUnknown { is_cut: true, .. })
+    }
+
     /// Whether the request may have reached the server.
     #[must_use]
     pub const fn may_have_run(&self) -> bool {
@@ -230,6 +238,7 @@
         self.carried_ids
             .extend(check.map(|check| id_hash(check.id)));
         let written = Cell::new(0_usize);
+        let is_cut = Cell::new(false);
         let codec = std::mem::replace(&mut self.codec, ClientCodec::new(codec_config()));
         let outcome = {
             let (mut reader, mut writer) = self.stream.split();
@@ -239,6 +248,7 @@
                 buffer: &mut self.buffer,
                 memory: self.memory.as_ref(),
                 kind: self.response_kind,
+                is_cut: &is_cut,
             };
             let response_future = read_matching_response(&mut source, codec, check, is_head);
             tokio::pin!(response_future);
@@ -268,7 +278,11 @@
             response,
             codec,
             is_clean,
-        } = outcome.map_err(|cause| ExchangeError::OutcomeUnknown { to, cause })?;
+        } = outcome.map_err(|cause| ExchangeError::OutcomeUnknown {
+            to,
+            cause,
+            is_cut: is_cut.get(),
+        })?;
         self.codec = codec;
         let is_clean = is_clean && is_fully_sent && self.buffer.is_empty();
         let connection = is_clean.then(|| self.into_idle(&response));
--- a/crates/http/src/client/response.rs
+++ b/crates/http/src/client/response.rs
@@ -1,5 +1,6 @@
 //! Reads the response that belongs to a request.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use actix_http::ResponseHead;
@@ -51,6 +52,8 @@
     pub(super) memory: Option<&'a Rc<MemoryBudget>>,
     /// As what responses are counted.
     pub(super) kind: MemoryKind,
+    /// Set if the server ends the connection.
+    pub(super) is_cut: &'a Cell<bool>,
 }
 
 /// Memory for the body of one response.
@@ -303,7 +306,9 @@
 ///
 /// A description if the connection ends or reading fails.
 async fn read_more(source: &mut ResponseSource<'_, '_>) -> Result<()> {
-    match source.reader.read_buf(source.buffer).await {
+    let result = source.reader.read_buf(source.buffer).await;
+    source.is_cut.set(matches!(result, Ok(0) | Err(_)));
+    match result {
         Ok(0) => Err("the connection ended before the answer".into()),
         Ok(_) => Ok(()),
         Err(error) => Err(error.to_string().into()),
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -111,7 +111,11 @@
         let limit = Duration::from_millis(options.response_timeout_ms);
         let Ok(result) = timeout(limit, exchange_future).await else {
             let cause = "no answer in time".into();
-            return Err(ExchangeError::OutcomeUnknown { to, cause });
+            return Err(ExchangeError::OutcomeUnknown {
+                to,
+                cause,
+                is_cut: false,
+            });
         };
         let outcome = result?;
         if let Some(connection) = outcome.connection {
--- a/crates/policy/src/held_bytes.rs
+++ b/crates/policy/src/held_bytes.rs
@@ -89,7 +89,14 @@
         self.in_flight = self.in_flight.saturating_sub(bytes);
     }
 
-    /// Records that a request in flight failed without an answer, before it ends. Returns the new bound if that
+    /// Forgets the failures that no crash explains yet: the backend server has announced that it leaves, so its end is
+    /// no crash.
+    pub const fn forget_failures(&mut self) {
+        self.failed = None;
+        self.refused_at = None;
+    }
+
+    /// Records that the backend server ended the connection of a request in flight without an answer, before that ends. Returns the new bound if that
     /// belongs to a crash that showed as a refused connection before. The other failures of a crash that set the bound are ignored: less is
     /// in flight with each.
     pub fn record_failure(&mut self, now: Millis) -> Option<u64> {
--- a/crates/policy/tests/test_held_bytes.rs
+++ b/crates/policy/tests/test_held_bytes.rs
@@ -104,3 +104,20 @@
     expect_that!(held.start(Millis(20), 4_000), eq(true));
     expect_that!(held.start(Millis(600_100), 2 * MEGABYTE), eq(true));
 }
+
+/// Guards against a planned restart that counts as a crash since a connection had ended before.
+#[gtest]
+fn record_restart_after_leaving_sets_no_bound() {
+    let restart = |is_leaving| {
+        let mut held = HeldBytes::new();
+        expect_that!(held.start(Millis(0), 10 * MEGABYTE), eq(true));
+        held.record_failure(Millis(10));
+        held.end(10 * MEGABYTE);
+        if is_leaving {
+            held.forget_failures();
+        }
+        held.record_restart(Millis(3_000))
+    };
+    expect_that!(restart(false), some(eq(5 * MEGABYTE)));
+    expect_that!(restart(true), none());
+}
