--- a/crates/http/tests/test_two_agents.rs
+++ b/crates/http/tests/test_two_agents.rs
@@ -28,6 +28,10 @@
 const TIMEOUT_MS: u64 = 3_000;
 
 /// Serves responses that were read from the agent's own backend server.
+///
+/// # Panics
+///
+/// Panics if it can't listen.
 async fn serve_agent(memory: &Rc<MemoryBudget>) -> SocketAddr {
     let reserved = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = reserved.local_addr().expect("it has an address");
