--- a/crates/policy/tests/test_admission.rs
+++ b/crates/policy/tests/test_admission.rs
@@ -263,3 +263,57 @@
     );
     expect_that!(queue.wait_longer(Millis(now + 3_500), 106), none());
 }
+
+/// Guards against tenants that lose their credit with protected requests that are refused before they start.
+#[gtest]
+fn refuse_late_returns_credit_of_protected_request() {
+    let request = |now: u64, tenant: &str, priority| AdmissionRequest {
+        tenant: Some(tenant.into()),
+        priority,
+        first_sent: Millis(now),
+        objective: Millis(now + 1_000),
+        deadline: Millis(now + 1_200),
+        ..LONG_DEADLINE
+    };
+    let mut queue = WorkQueue::new(1);
+    // Urgent work at twice the capacity, until the starved tenant has earned a protected request.
+    let (mut now, mut ticket, mut running, mut is_protected) = (1_000, 0, None, false);
+    while !is_protected && now < 61_000 {
+        ticket += 1;
+        queue.offer(Millis(now), ticket, request(now, "urgent", 0));
+        queue.refuse_late(Millis(now));
+        if now % 200 == 0 && now > 11_000 {
+            let low = request(now, "low", 5);
+            is_protected = queue.offer(Millis(now), 1_000_000, low) == Admission::Queued;
+        }
+        if now % 100 == 0 && !is_protected {
+            running.into_iter().for_each(|ended| queue.remove(ended));
+            running = queue.start(Millis(now));
+        }
+        now += 50;
+    }
+    expect_that!(is_protected, eq(true), "the test is void");
+    // A call goes first, and the protected request can no longer be served behind it.
+    let call = AdmissionRequest {
+        is_call: true,
+        ..LONG_DEADLINE
+    };
+    queue.offer(
+        Millis(now),
+        1_000_001,
+        AdmissionRequest {
+            deadline: Millis(now + 9_000),
+            ..call
+        },
+    );
+    let refused = queue.refuse_late(Millis(now + 1_150));
+    expect_that!(refused, contains(eq(&1_000_000)));
+    // The urgent work is back, so that only a protected request is queued.
+    for other in 0..30 {
+        queue.offer(Millis(now), 2_000_000 + other, request(now, "urgent", 0));
+    }
+    let again = queue.offer(Millis(now), 1_000_002, request(now, "low", 5));
+    expect_that!(again, eq(Admission::Queued));
+    let without_credit = queue.offer(Millis(now), 1_000_003, request(now, "low", 5));
+    expect_that!(without_credit, not(eq(Admission::Queued)));
+}
