--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use jy_http::memory_budget::MemoryBudget;
+use jy_http::memory_budget::MemoryKind;
 use jy_http::pool::ConnectionPool;
 use jy_kernel::clock;
 use jy_policy::admission::Admission;
@@ -23,6 +24,7 @@
 use jy_policy::key_check::may_dispatch;
 use jy_policy::moving::TYPICAL_MOVE_GAP_MS;
 use jy_policy::moving::max_wait_ms;
+use jy_policy::moving::wait_objective;
 use jy_policy::offered::OfferedWork;
 use jy_policy::service_time::ServiceTimeMean;
 use jy_policy::transfer::TransferQueue;
@@ -79,6 +81,8 @@
     pub(crate) relative_service_time: ServiceTimeMean,
     /// When the backend server last reported its service time, and the value in percent of the usual one.
     pub(crate) reported_service_time: (Millis, u32),
+    /// Whether a timer will start queued requests.
+    pub(crate) has_start_timer: bool,
     /// Signals a queued request, by its ticket, that it may start.
     pub(crate) start_senders: BTreeMap<u64, oneshot::Sender<()>>,
     pub(crate) offered_work: OfferedWork,
@@ -141,6 +145,7 @@
             service_times: BTreeMap::new(),
             relative_service_time: ServiceTimeMean::new(),
             reported_service_time: (Millis::default(), 100),
+            has_start_timer: false,
             start_senders: BTreeMap::new(),
             offered_work: OfferedWork::new(),
             transfers: TransferQueue::new(link_bytes_per_ms),
@@ -165,7 +170,8 @@
     /// agents.
     #[must_use]
     pub fn with_memory(mut self, memory: Rc<MemoryBudget>) -> Self {
-        self.pool = ConnectionPool::new().with_memory(memory);
+        let pool = ConnectionPool::new().with_memory(memory);
+        self.pool = pool.with_response_kind(MemoryKind::BackendResponse);
         self
     }
 
@@ -323,7 +329,9 @@
                 | NotRunCause::Shed
                 | NotRunCause::KeyExpired => false,
             };
-            let max_wait_ms = max_wait_ms(now, job.objective, job.deadline);
+            let objective_ms = self.rules(job).map_or(0, |(rule, _)| rule.objective_ms);
+            let objective = wait_objective(now, job.objective, objective_ms, job.deadline);
+            let max_wait_ms = max_wait_ms(now, objective, job.deadline);
             if !is_pending || max_wait_ms == 0 {
                 return Err(cause);
             }
@@ -497,11 +505,16 @@
         }
     }
 
-    /// Calls [`Self::start_queued`] after a delay.
+    /// Calls [`Self::start_queued`] after a delay, unless an earlier call is still to do so. The limit on cold starts
+    /// permits the next start at one point in time, whoever asks.
     fn start_queued_after(self: &Rc<Self>, delay_ms: u64) {
+        if std::mem::replace(&mut self.state.borrow_mut().has_start_timer, true) {
+            return;
+        }
         let gate = Rc::clone(self);
         actix_rt::spawn(async move {
             sleep(Duration::from_millis(delay_ms)).await;
+            gate.state.borrow_mut().has_start_timer = false;
             gate.start_queued();
         });
     }
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -12,6 +12,7 @@
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
+use jy_http::memory_budget::SMALL_RESPONSE_BYTES;
 use jy_http::message::HttpRequest;
 use jy_http::message::HttpResponse;
 use jy_http::message::header_text;
@@ -517,8 +518,12 @@
                     if !is_failure {
                         return Ok(response);
                     }
-                    may_start = may_start && self.may_resend(call);
                     call.last_failure = "backend-failed";
+                    // A large failure holds memory that other responses may wait for.
+                    if response.body.len() > SMALL_RESPONSE_BYTES {
+                        return Ok(response);
+                    }
+                    may_start = may_start && self.may_resend(call);
                     call.failure_response = Some(response);
                 }
                 GateOutcome::NotRun { cause, retry_ms } => {
@@ -533,7 +538,8 @@
                         call.tried.remove(&node);
                     }
                     let is_moving = matches!(cause, NotRunCause::NotHolder | NotRunCause::Disowned);
-                    if is_moving && may_start {
+                    // Only a key has another owner to wait for.
+                    if is_moving && is_keyed && may_start && attempts.is_empty() {
                         call.tried.remove(&node);
                         self.wait_for_owner_change(call).await;
                     }
--- a/crates/edge/tests/test_dispatch.rs
+++ b/crates/edge/tests/test_dispatch.rs
@@ -68,7 +68,7 @@
                 health_path: "/health".into(),
                 max_connections: 10,
                 cold_ms: 0,
-                cold_per_s: f64::INFINITY,
+                cold_per_s: 10.0,
                 keyed: false,
             },
         )]),
@@ -114,6 +114,11 @@
 
     /// Announces the incarnation that started at `started_at`.
     fn announce(&self, started_at: u64) {
+        self.announce_cold(started_at, 0);
+    }
+
+    /// Announces the incarnation that started at `started_at` and is cold for `cold_ms` milliseconds.
+    fn announce_cold(&self, started_at: u64, cold_ms: u64) {
         let announced = Announcement {
             incarnation: BackendIncarnation {
                 id: format!("i-{started_at}").into(),
@@ -125,7 +130,7 @@
             slots: 8,
             phase: BackendPhase::Serving,
             sequence: 1,
-            cold_ms: 0,
+            cold_ms,
             held: Vec::new(),
             released: Vec::new(),
         };
@@ -138,6 +143,11 @@
 
     /// Serves a request with a body of `length` bytes.
     async fn serve(&self, length: usize) -> GateOutcome {
+        self.serve_within(length, TIMEOUT_MS).await
+    }
+
+    /// Serves a request with a body of `length` bytes and a deadline in `timeout_ms` milliseconds.
+    async fn serve_within(&self, length: usize, timeout_ms: u64) -> GateOutcome {
         let now = clock::now();
         let request = HttpRequest::new(Method::POST, "/p")
             .with_header("host", "h.example")
@@ -152,8 +162,8 @@
             is_call: false,
             tenant: None,
             key_valid_until: Millis::MAX,
-            objective: now.plus(TIMEOUT_MS),
-            deadline: now.plus(TIMEOUT_MS),
+            objective: now.plus(timeout_ms),
+            deadline: now.plus(timeout_ms),
         };
         self.gate.serve(job).await.outcome
     }
@@ -258,3 +268,56 @@
         expect_that!(is_sent, eq(true), "there is memory again");
     });
 }
+
+/// Guards against a cold start during which each offer starts one more timer, which starts the next one.
+#[gtest]
+fn serve_cold_backend_keeps_one_timer() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener.local_addr().expect("it has an address");
+        let memory = Rc::new(MemoryBudget::new(usize::MAX));
+        let fixture = Rc::new(GateFixture::new(address, memory));
+        fixture.announce_cold(1, 60_000);
+        let requests: Vec<_> = (0..20)
+            .map(|_| {
+                let fixture = Rc::clone(&fixture);
+                actix_rt::spawn(async move { fixture.serve(0).await })
+            })
+            .collect();
+        sleep(Duration::from_millis(20)).await;
+        expect_that!(fixture.gate.waiting().0, ge(5), "the test is void");
+        for request in &requests {
+            request.abort();
+        }
+        sleep(Duration::from_millis(5)).await;
+        // The gate is referred to by the fixture and by each pending timer.
+        expect_that!(Rc::strong_count(&fixture.gate), le(2));
+    });
+}
+
+/// Guards against a planned restart that counts as a crash since requests timed out before.
+#[gtest]
+fn dispatch_restart_after_time_outs_sets_no_bound() {
+    actix_rt::System::new().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener
+            .local_addr()
+            .expect("a bound socket has an address");
+        let fixture = GateFixture::new(address, Rc::new(MemoryBudget::new(usize::MAX)));
+        fixture.announce(1);
+        let timeout_ms = 2 * SENDING_MS;
+        let bodies = join_all((0..BODIES).map(|_| fixture.serve_within(BODY_BYTES, timeout_ms)));
+        let (outcomes, streams) =
+            futures_util::future::join(bodies, accept(&listener, BODIES)).await;
+        let is_unknown = |outcome: &GateOutcome| matches!(outcome, GateOutcome::Unknown { .. });
+        expect_that!(outcomes.iter().all(is_unknown), eq(true), "{outcomes:?}");
+        drop(streams);
+        fixture.announce(2);
+        let _timed_out = fixture.serve_within(0, SENDING_MS).await;
+        expect_that!(fixture.gate.held(clock::now()), eq((0, None)));
+    });
+}
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -704,3 +704,130 @@
         expect_that!(memory.used_bytes(), eq(0));
     });
 }
+
+/// Serves a request through two gates. The one that is asked first does not own the backend server any more, after
+/// `disowned_ms` milliseconds, and the other one answers after `answer_ms`. Returns the status and the time it took.
+fn serve_disowned(objective_ms: u64, disowned_ms: u64, answer_ms: u64) -> (StatusCode, u64) {
+    actix_rt::System::new().block_on(async {
+        let is_first = Rc::new(Cell::new(true));
+        let handler: Handler = Rc::new(move |_, _| {
+            let (delay_ms, outcome) = if is_first.replace(false) {
+                let disowned = GateOutcome::NotRun {
+                    cause: NotRunCause::Disowned,
+                    retry_ms: 0,
+                };
+                (disowned_ms, disowned)
+            } else {
+                (answer_ms, answered())
+            };
+            Box::pin(async move {
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                encode_report(GateReport {
+                    outcome,
+                    load: None,
+                })
+            })
+        });
+        let gates = [
+            serve_gate(Rc::clone(&handler)).await,
+            serve_gate(handler).await,
+        ];
+        let mut routes = routes(false, true);
+        routes.routes[0].objective_ms = objective_ms;
+        let mut snapshot = snapshot(routes, gates[0], None);
+        let mut second = snapshot.instances["other"].clone();
+        let mut record = (*second.record).clone();
+        record.node = "second".into();
+        record.gate = gates[1];
+        second.record = Rc::new(record);
+        snapshot.instances.insert("second".into(), second);
+        let request = HttpRequest::new(Method::GET, "/p/x")
+            .with_header("host", "h.example")
+            .with_header("x-request-id", "r1")
+            .with_header("x-deadline-ms", "3000");
+        let received_at = clock::now();
+        let response = gateway(snapshot).serve(request, received_at).await;
+        (response.status, clock::now().since(received_at))
+    })
+}
+
+/// Guards against a wait for another owner of a service without keys, which has none, and against a hedge that is not
+/// polled during such a wait.
+#[gtest]
+fn serve_disowned_without_keys_asks_other_gate_at_once() {
+    let retried = serve_disowned(2_000, 1, 1);
+    expect_that!(retried, (eq(StatusCode::OK), lt(1_000)));
+    let hedged = serve_disowned(200, 200, 300);
+    expect_that!(hedged, (eq(StatusCode::OK), lt(1_000)));
+}
+
+/// Guards against large failures that are kept while the next attempts wait for the memory that they take.
+#[gtest]
+fn serve_large_failures_are_not_kept_until_deadline() {
+    const BODY_BYTES: usize = 3 * 1024 * 1024;
+    actix_rt::System::new().block_on(async {
+        let mut failure = HttpResponse::new(StatusCode::INTERNAL_SERVER_ERROR, "");
+        failure.body = vec![1_u8; BODY_BYTES].into();
+        let gate = serve_slow_gate(200, GateOutcome::Answered(failure)).await;
+        let mut snapshot = snapshot(routes(false, true), gate, None);
+        let mut second = snapshot.instances["other"].clone();
+        let mut record = (*second.record).clone();
+        record.node = "second".into();
+        second.record = Rc::new(record);
+        snapshot.instances.insert("second".into(), second);
+        // Two failures fit, and no third response.
+        let memory = Rc::new(MemoryBudget::new(2 * BODY_BYTES + BODY_BYTES / 2));
+        let gateway = gateway_with_memory(snapshot, memory);
+        let received_at = clock::now();
+        let served = (0..2).map(|index| {
+            let request = HttpRequest::new(Method::GET, "/p/x")
+                .with_header("host", "h.example")
+                .with_header("x-request-id", &format!("r{index}"))
+                .with_header("x-deadline-ms", "3000");
+            Rc::clone(&gateway).serve(request, received_at)
+        });
+        let responses = futures_util::future::join_all(served).await;
+        for response in responses {
+            expect_that!(response.status, eq(StatusCode::INTERNAL_SERVER_ERROR));
+            expect_that!(response.body.len(), eq(BODY_BYTES));
+        }
+        expect_that!(clock::now().since(received_at), lt(1_500));
+    });
+}
+
+/// Guards against returning callers whose requests do not wait for a moving key, since their objective has passed.
+#[gtest]
+fn serve_returning_caller_waits_for_moving_key() {
+    actix_rt::System::new().block_on(async {
+        let report = GateReport {
+            outcome: GateOutcome::NotRun {
+                cause: NotRunCause::NotHolder,
+                retry_ms: 0,
+            },
+            load: None,
+        };
+        let gate = serve_other_gate(report, Rc::default()).await;
+        let mut routes = routes(true, true);
+        routes.routes[0].timeout_ms = 6_000;
+        let gateway = gateway(snapshot(routes, gate, None));
+        let serve = |time_left_ms: u64| {
+            let request = HttpRequest::new(Method::GET, "/p/x")
+                .with_header("host", "h.example")
+                .with_header("x-request-id", "r1")
+                .with_header("x-deadline-ms", &time_left_ms.to_string())
+                .with_header("x-shard-key", "77");
+            Rc::clone(&gateway).serve(request, clock::now())
+        };
+        // First attempts, from which the gateway learns the callers' time limit. Their answers are not awaited.
+        let first_attempts = (0..20).map(|_| serve(6_000));
+        let learning = futures_util::future::join_all(first_attempts);
+        expect_that!(
+            timeout(Duration::from_millis(300), learning).await,
+            err(anything())
+        );
+        let received_at = clock::now();
+        let response = serve(1_900).await;
+        expect_that!(response.status, eq(StatusCode::SERVICE_UNAVAILABLE));
+        expect_that!(clock::now().since(received_at), ge(400));
+    });
+}
