edge: only returning callers wait for a moving key beyond their objective

Cause: the wait of first attempts no longer shrank with their time left until the objective.

Change: the gateway counts the wait from now only for requests that have an age; the gate waits as before.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -24,7 +24,6 @@
 use jy_policy::key_check::may_dispatch;
 use jy_policy::moving::TYPICAL_MOVE_GAP_MS;
 use jy_policy::moving::max_wait_ms;
-use jy_policy::moving::wait_objective;
 use jy_policy::offered::OfferedWork;
 use jy_policy::service_time::ServiceTimeMean;
 use jy_policy::transfer::TransferQueue;
@@ -329,9 +328,7 @@
                 | NotRunCause::Shed
                 | NotRunCause::KeyExpired => false,
             };
-            let objective_ms = self.rules(job).map_or(0, |(rule, _)| rule.objective_ms);
-            let objective = wait_objective(now, job.objective, objective_ms, job.deadline);
-            let max_wait_ms = max_wait_ms(now, objective, job.deadline);
+            let max_wait_ms = max_wait_ms(now, job.objective, job.deadline);
             if !is_pending || max_wait_ms == 0 {
                 return Err(cause);
             }
--- a/crates/edge/src/gateway/selection.rs
+++ b/crates/edge/src/gateway/selection.rs
@@ -112,7 +112,11 @@
         let mut updates = self.snapshot.subscribe();
         let now = clock::now();
         let (objective, deadline) = (call.job.objective, call.job.deadline);
-        let objective = wait_objective(now, objective, call.rule.objective_ms, deadline);
+        let objective = if call.age_ms > 0 {
+            wait_objective(now, objective, call.rule.objective_ms, deadline)
+        } else {
+            objective
+        };
         let wait_ms = max_wait_ms(now, objective, deadline);
         let max_wait = Duration::from_millis(wait_ms);
         let changed = updates.wait_for(|snapshot| owner_of(snapshot, call) != previous_owner);
