edge: late waiting and ages of callers only in configurations with tenants

Change: both take effect where the configuration has tenants; elsewhere the queue and objectives are as before.

Tests of jy-edge and jy-policy pass.

--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -401,6 +401,11 @@
     /// Applies the slots and the cold start that the backend server announced. Discards all measurements if it
     /// has restarted.
     fn sync_with_backend(&self, now: Millis, service: &ServiceRule) {
+        let has_tenants = {
+            let snapshot = self.snapshot.borrow();
+            let routes = snapshot.routes.as_ref();
+            routes.is_some_and(|routes| routes.tenants.is_some())
+        };
         self.backend.read(|backend| {
             let Some(backend) = backend else {
                 return;
@@ -415,6 +420,7 @@
                 state.cold_until = Millis::default();
             }
             state.queue.set_slots(backend.announced.slots);
+            state.queue.set_forecasting(has_tenants);
             state.cold_start_limiter.set_rate(service.cold_per_s);
             let announced_until = backend.last_heard.plus(backend.announced.cold_ms);
             let until = announced_until.max(state.cold_until);
--- a/crates/edge/src/gateway/calls.rs
+++ b/crates/edge/src/gateway/calls.rs
@@ -6,7 +6,6 @@
 use std::net::Ipv6Addr;
 
 use jy_http::message::HttpRequest;
-use jy_policy::admission::MIN_LIMIT_RATIO;
 use jy_types::routing::RouteRule;
 use jy_types::routing::RouteTable;
 use jy_types::time::Millis;
@@ -39,7 +38,7 @@
     }
 
     /// Returns the age of the first attempt of a request that states the time limit `stated_ms`, in milliseconds. It
-    /// is zero on routes whose time limit leaves no room for late answers, unless the configuration has tenants.
+    /// is zero in a configuration without tenants.
     pub(super) fn first_attempt_age_ms(
         &self,
         received_at: Millis,
@@ -47,9 +46,7 @@
         rule: &RouteRule,
         stated_ms: Option<u64>,
     ) -> u64 {
-        let has_room = routes.tenants.is_some()
-            || rule.timeout_ms >= rule.objective_ms.saturating_mul(MIN_LIMIT_RATIO);
-        let stated_ms = stated_ms.filter(|_| has_room);
+        let stated_ms = stated_ms.filter(|_| routes.tenants.is_some());
         stated_ms.map_or(0, |stated_ms| {
             let mut caller_ages = self.caller_ages.borrow_mut();
             caller_ages.observe(received_at, rule, stated_ms)
--- a/crates/edge/src/queue_wait.rs
+++ b/crates/edge/src/queue_wait.rs
@@ -87,7 +87,7 @@
         request: &AdmissionRequest,
     ) -> u64 {
         let mut state = self.state.borrow_mut();
-        let place_ms = if request.leaves_room(offered_at) {
+        let place_ms = if state.queue.leaves_room(offered_at, request) {
             state.queue.assign_retry(clock::now(), request)
         } else {
             None
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -34,7 +34,7 @@
 
 /// Least ratio of a caller's time limit to its objective at which a request without a tenant may wait for a late
 /// answer.
-pub const MIN_LIMIT_RATIO: u64 = 3;
+const MIN_LIMIT_RATIO: u64 = 3;
 
 /// Lower bound on the expected remaining work of a running request, as a share of its mean work.
 const MIN_REMAINING_SHARE: f64 = 0.25;
@@ -124,6 +124,8 @@
     shares: TenantShares,
     forecast: CapacityForecast,
     places: RetryPlaces,
+    /// Whether late requests may wait and refused callers get places.
+    is_forecasting: bool,
 }
 
 /// A waiting request.
@@ -187,9 +189,23 @@
             shares: TenantShares::new(),
             forecast: CapacityForecast::new(),
             places: RetryPlaces::new(),
+            is_forecasting: true,
         }
     }
 
+    /// Sets whether late requests may wait for capacity that on-time work leaves free, and whether refused callers get
+    /// places in it.
+    pub fn set_forecasting(&mut self, is_forecasting: bool) {
+        self.is_forecasting = is_forecasting;
+    }
+
+    /// Whether a request that arrives at `offered_at` may wait for a late answer, see
+    /// [`AdmissionRequest::leaves_room`].
+    #[must_use]
+    pub fn leaves_room(&self, offered_at: Millis, request: &AdmissionRequest) -> bool {
+        self.is_forecasting && request.leaves_room(offered_at)
+    }
+
     /// Sets the number of requests that run at once.
     pub fn set_slots(&mut self, slots: u32) {
         self.slots = slots.max(1);
@@ -244,7 +260,7 @@
             let tenant = request.tenant.as_ref();
             self.shares.record_offered(now, self.slots, class, tenant)
         };
-        let has_room = request.leaves_room(now);
+        let has_room = self.leaves_room(now, &request);
         let mut work = WaitingWork {
             request,
             ticket,
