--- a/crates/edge/src/era.rs
+++ b/crates/edge/src/era.rs
@@ -1,7 +1,6 @@
 //! The era of the store, which increases each time the store comes back from an older copy.
 //!
-//! Revisions are ordered only within an era, and what was written since the copy is lost. See
-//! `docs/design/store-era.md`.
+//! Revisions are ordered only within an era, and what was written since the copy is lost.
 
 use std::cell::Cell;
 use std::rc::Rc;
