review: keys are given on while an exiting endpoint works on them

A request whose answer can't be parsed counts as ended, although the agent has closed its connection itself; a refused connection then frees the keys.

--- a/review/standins-2/src/endpoint.rs
+++ b/review/standins-2/src/endpoint.rs
@@ -32,9 +32,6 @@
 };
 /// A liveness report counts as acknowledged if it is answered within this time, in milliseconds.
 const ACK_TIMEOUT_MS: u64 = 1_000;
-/// Time that a request takes, in milliseconds.
-const WORK_MS: u64 = 10;
-
 /// Is called with the id of each request that runs and the caller that it states.
 pub type RunFn = Rc<dyn Fn(&str, &str)>;
 
@@ -51,6 +48,8 @@
     pub address: SocketAddr,
     /// Address of the agent that takes its liveness reports.
     pub agent: SocketAddr,
+    /// Time that a request takes, in milliseconds.
+    pub work_ms: u64,
 }
 
 /// One lifetime of an endpoint.
@@ -60,7 +59,10 @@
     on_run: RunFn,
     listener: RefCell<Option<HttpListener>>,
     has_ended: Cell<bool>,
+    has_left: Cell<bool>,
     acknowledged: Cell<u64>,
+    /// Delay in transit of the next liveness report, in milliseconds.
+    next_delay_ms: Cell<u64>,
 }
 
 impl Endpoint {
@@ -77,7 +79,9 @@
             on_run,
             listener: RefCell::default(),
             has_ended: Cell::new(false),
+            has_left: Cell::new(false),
             acknowledged: Cell::new(0),
+            next_delay_ms: Cell::new(0),
         });
         let handler = Rc::clone(&endpoint);
         let listener = HttpListener::new(
@@ -121,17 +125,39 @@
                 .with_header("x-not-executed", "1");
         }
         (self.on_run)(&id, text("x-caller"));
-        sleep(Duration::from_millis(WORK_MS)).await;
+        sleep(Duration::from_millis(self.plan.work_ms)).await;
         HttpResponse::new(StatusCode::OK, &format!("whole answer to {id}"))
             .with_header("x-request-id", &id)
             .with_header("x-response-seal", &self.plan.id)
             .with_header("x-server-load", "1,0,6,100")
     }
 
-    /// Reports itself until it has ended.
-    async fn report_until_ended(&self) {
-        let pool = ConnectionPool::new();
+    /// Delays the next liveness report in transit by `delay_ms` milliseconds.
+    pub fn delay_next_report(&self, delay_ms: u64) {
+        self.next_delay_ms.set(delay_ms);
+    }
+
+    /// Whether a liveness report is still to be delayed.
+    pub fn has_delay_pending(&self) -> bool {
+        self.next_delay_ms.get() > 0
+    }
+
+    /// Leaves without having reported that it drains: sends `DELETE` and no more reports, and serves on. Returns
+    /// whether that was acknowledged.
+    pub async fn leave(&self) -> bool {
+        self.has_left.set(true);
+        let target = format!("/instances/{}", self.plan.id);
+        let request = HttpRequest::new(Method::DELETE, &target).with_header("host", "agent");
+        self.send(&ConnectionPool::new(), &request).await
+    }
+
+    /// Reports itself until it has left or ended.
+    async fn report_until_ended(self: Rc<Self>) {
+        let pool = Rc::new(ConnectionPool::new());
         for sequence in 1_u64.. {
+            if self.has_ended.get() || self.has_left.get() {
+                return;
+            }
             let body = json!({
                 "address": self.plan.address.to_string(),
                 "born": self.born,
@@ -143,20 +169,29 @@
                 .with_header("host", "agent")
                 .with_header("content-type", "application/json")
                 .with_body(body.to_string().into());
-            let options = SendOptions {
-                connect_timeout_ms: ACK_TIMEOUT_MS,
-                response_timeout_ms: ACK_TIMEOUT_MS,
-                max_idle_ms: ANNOUNCE_INTERVAL_MS * 2,
-                max_bytes_per_ms: None,
-            };
-            let answer = pool.send(self.plan.agent, &request, None, options).await;
-            if self.has_ended.get() {
-                return;
-            }
-            if answer.is_ok_and(|response| response.status.is_success()) {
+            let delay_ms = self.next_delay_ms.replace(0);
+            if delay_ms > 0 {
+                let endpoint = Rc::clone(&self);
+                actix_rt::spawn(async move {
+                    sleep(Duration::from_millis(delay_ms)).await;
+                    endpoint.send(&ConnectionPool::new(), &request).await;
+                });
+            } else if self.send(&pool, &request).await && !self.has_ended.get() {
                 self.acknowledged.set(self.acknowledged.get() + 1);
             }
             sleep(Duration::from_millis(ANNOUNCE_INTERVAL_MS)).await;
         }
     }
+
+    /// Sends a report to the agent. Returns whether it was acknowledged.
+    async fn send(&self, pool: &ConnectionPool, request: &HttpRequest) -> bool {
+        let options = SendOptions {
+            connect_timeout_ms: ACK_TIMEOUT_MS,
+            response_timeout_ms: ACK_TIMEOUT_MS,
+            max_idle_ms: ANNOUNCE_INTERVAL_MS * 2,
+            max_bytes_per_ms: None,
+        };
+        let answer = pool.send(self.plan.agent, request, None, options).await;
+        answer.is_ok_and(|response| response.status.is_success())
+    }
 }
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -18,9 +18,6 @@
 use jy_platform_standins::backend::StandinBackend;
 use jy_platform_standins::invariants::InvariantChecker;
 use jy_platform_standins::store::StandinStore;
-use rustix::process::Pid;
-use rustix::process::Signal;
-use rustix::process::kill_process;
 use serde_json::json;
 
 use crate::link::Link;
@@ -168,16 +165,16 @@
         SocketAddr::new(self.instances[index].caller.ip(), 7301)
     }
 
-    /// Sends a signal to the agent of an instance.
+    /// Kills the agent of an instance and waits for its end.
     ///
     /// # Errors
     ///
-    /// If the signal can't be sent.
-    pub fn signal(&self, index: usize, signal: Signal) -> Result<()> {
-        let process = self.instances[index].process.borrow();
-        let child = process.as_ref().context("the agent was not started")?;
-        let pid = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
-        kill_process(pid.context("no process id")?, signal)?;
+    /// If it was not started or can't be killed.
+    pub fn kill_agent(&self, index: usize) -> Result<()> {
+        let mut process = self.instances[index].process.borrow_mut();
+        let child = process.as_mut().context("the agent was not started")?;
+        child.kill()?;
+        child.wait()?;
         Ok(())
     }
 
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -6,9 +6,12 @@
 use anyhow::Context;
 use anyhow::Result;
 
+mod drain;
 mod endpoint;
+mod exiting;
 mod fleet;
 mod link;
+mod owner;
 mod record;
 mod reuse;
 mod silent;
@@ -47,6 +50,8 @@
     let shared = Rc::clone(&record);
     let result = match case.as_str() {
         "silent" => silent::run(&program, &folder, shared, has_trouble).await,
+        "drain" => drain::run(&program, &folder, shared, has_trouble).await,
+        "exiting" => exiting::run(&program, &folder, shared, has_trouble).await,
         "reuse" => reuse::run(&program, &folder, shared, has_trouble).await,
         other => Err(anyhow::anyhow!("there is no case {other}")),
     };
--- a/review/standins-2/src/reuse.rs
+++ b/review/standins-2/src/reuse.rs
@@ -36,6 +36,8 @@
 const REUSE_DELAY_MS: u64 = 2_500;
 /// Length of the traffic, in milliseconds.
 const LENGTH_MS: u64 = 36_000;
+/// Time that a request takes, in milliseconds.
+const WORK_MS: u64 = 10;
 const REQUEST_INTERVAL_MS: u64 = 20;
 const TIMEOUT_MS: u64 = 1_000;
 const SERVICES: [(&str, bool); 2] = [("catalogue", false), ("registry", false)];
@@ -163,6 +165,7 @@
         zone: plans[index].zone,
         address: fleet.instances[index].backend,
         agent: fleet.instances[index].announce,
+        work_ms: WORK_MS,
     };
     let mut endpoints = Vec::new();
     for (index, plan) in plans.iter().enumerate() {
