http: a reset while the request is written does not complete a response

What callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was written. The caller got that part as a complete 200, with the backend server's signature.

Cause: a socket reports a reset once, to whichever call comes next. While a request is written, that is the write, whose error the exchange keeps. The read then sees the end of the connection, which completes a body without a length.

Change: the read of a body without a length fails at the end of the connection if the write of its request has failed. This works because only a write that has failed can have taken the error of the reset: without one, the read gets the error itself.

--- /dev/null
+++ b/crates/edge/tests/test_agent_process/broken_responses.rs
@@ -0,0 +1,112 @@
+//! What callers get if a backend server sends a broken response.
+//!
+//! The backend server is a socket whose bytes the test writes.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use jy_http::message::HttpResponse;
+use socket2::SockRef;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+use crate::fleet::AgentFleet;
+use crate::fleet::ServeFn;
+use crate::fleet::signature;
+
+/// Statuses by which a response says that its request has not run and will not.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+/// A request that does not fit into the buffers of the sockets, in bytes.
+const LARGE_BYTES: usize = 8 * 1024 * 1024;
+
+/// Sends a request on each route to each agent, and checks that no caller takes the broken response, described by
+/// `case`, for a complete one, and that a request that may run once reaches the backend server once.
+///
+/// # Panics
+///
+/// Panics if an agent does not answer.
+async fn expect_failure(fleet: &AgentFleet, case: &str, body: &Bytes) {
+    for (number, agent) in fleet.agents.iter().enumerate() {
+        for route in ["safe", "once"] {
+            fleet.requests.borrow_mut().clear();
+            let path = format!("/{route}/{case}");
+            let result = fleet.send(agent, &path, body.clone()).await;
+            let response = result.expect("the agent answers");
+            let case = format!("{case}, {route}, agent {number}, {} bytes", body.len());
+            expect_unknown_outcome(&response, &case);
+            let sends = fleet.requests.borrow().len();
+            let most_sends = if route == "safe" { 2 } else { 1 };
+            expect_that!(sends, all![ge(1), le(most_sends)], "{case}");
+        }
+    }
+}
+
+/// Checks that a response says neither that its request ran nor that it did not.
+fn expect_unknown_outcome(response: &HttpResponse, case: &str) {
+    let status = response.status.as_u16();
+    expect_that!(status, ge(500), "{case}: {:?}", response.body);
+    expect_that!(NOT_RUN_STATUSES.contains(&status), eq(false), "{case}");
+    let is_sealed = response.headers.contains_key("x-response-seal");
+    expect_that!(is_sealed, eq(false), "{case}");
+}
+
+/// Writes the response that the path of a request names, and cuts the connection as it names.
+///
+/// # Panics
+///
+/// Panics if an option of the socket can't be set.
+async fn serve_cut(mut stream: TcpStream, head: String) {
+    let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
+    let signature = signature(&head);
+    let framing = match () {
+        () if path.contains("length") => "content-length: 11\r\n\r\n",
+        () if path.contains("chunks") => "transfer-encoding: chunked\r\n\r\nb\r\n",
+        () => "\r\n",
+    };
+    let text = format!("HTTP/1.1 200 OK\r\n{signature}{framing}part");
+    let body_at = text.find("\r\n\r\n").map_or(0, |index| index + 4);
+    let sent = match () {
+        () if path.contains("nothing") => "",
+        () if path.contains("half-head") => &text[..body_at - 4],
+        () if path.contains("head") => &text[..body_at],
+        () => &text,
+    };
+    // The agent may have given the request up.
+    let _written = stream.write_all(sent.as_bytes()).await;
+    if path.contains("late") {
+        sleep(Duration::from_millis(50)).await;
+    }
+    if path.contains("reset") {
+        SockRef::from(&stream)
+            .set_linger(Some(Duration::ZERO))
+            .expect("failed to set the linger time");
+    } else {
+        let mut byte = [0_u8; 1];
+        let _unread = stream.peek(&mut byte).await;
+    }
+}
+
+/// Guards against a part of a response that callers get as a complete one: the backend server answers a request before
+/// it has read its body, and breaks off while the agent still writes it.
+#[gtest]
+fn answer_cut_during_upload_is_a_failure() {
+    actix_rt::System::new().block_on(async {
+        let serve: ServeFn = Rc::new(|stream, head| Box::pin(serve_cut(stream, head)));
+        let fleet = AgentFleet::start(serve).await;
+        let (small, large) = (vec![b'x'; 1_024], vec![b'x'; LARGE_BYTES]);
+        let (small, large) = (Bytes::from(small), Bytes::from(large));
+        for framing in ["until-close", "length", "chunks"] {
+            for cut in ["reset", "unread", "late-reset", "late-unread"] {
+                for sent in ["nothing", "half-head", "head", "part"] {
+                    let case = format!("{framing}-{sent}-{cut}");
+                    expect_failure(&fleet, &case, &small).await;
+                }
+                let case = format!("{framing}-part-{cut}");
+                expect_failure(&fleet, &case, &large).await;
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/edge/tests/test_agent_process/fleet.rs
@@ -0,0 +1,363 @@
+//! Agents as processes of their own, with a store, a backend server and callers that the test controls.
+//!
+//! The first agent has no backend server, so that what its callers send goes to the second one, whose backend server
+//! the test plays.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::fs::File;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::rc::Rc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use actix_http::Method;
+use actix_http::StatusCode;
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use jy_http::client::ExchangeError;
+use jy_http::message::HttpRequest;
+use jy_http::message::HttpResponse;
+use jy_http::pool::ConnectionPool;
+use jy_http::pool::SendOptions;
+use jy_kernel::clock;
+use jy_platform_standins::store::StandinStore;
+use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+/// Path of a request that the backend server answers as it should. Requests to all other paths are served by the test.
+const GOOD_PATH: &str = "/safe/good";
+/// Signature of the backend server's responses.
+const SEAL: &str = "seal-1";
+/// Id of the backend server.
+const BACKEND_ID: &str = "i-1";
+/// Host of all routes.
+const HOST: &str = "h.example";
+/// Service of the second agent's backend server.
+const SERVICE: &str = "s";
+const ANNOUNCE_INTERVAL_MS: u64 = 200;
+/// Time limit of all routes, in milliseconds.
+const ROUTE_TIMEOUT_MS: u64 = 4_000;
+/// Time from SIGTERM to SIGKILL, in seconds.
+const GRACE_S: u64 = 6;
+/// Time for the agents to serve the first request, in milliseconds.
+const START_MS: u64 = 20_000;
+const POLL_MS: u64 = 50;
+
+/// Number of fleets that this process has started, so that each has addresses of its own.
+static FLEETS: AtomicU8 = AtomicU8::new(0);
+
+/// Serves one connection of the backend server. Gets the head of its first request, and the stream behind that head.
+pub type ServeFn = Rc<dyn Fn(TcpStream, String) -> LocalBoxFuture<'static, ()>>;
+
+/// An agent process.
+pub struct AgentProcess {
+    /// Address for callers.
+    pub caller: SocketAddr,
+    process: RefCell<Child>,
+    log_path: PathBuf,
+}
+
+impl AgentProcess {
+    /// Returns the log.
+    fn log(&self) -> String {
+        std::fs::read_to_string(&self.log_path).unwrap_or_default()
+    }
+}
+
+impl Drop for AgentProcess {
+    fn drop(&mut self) {
+        let mut process = self.process.borrow_mut();
+        // The process may have exited already, so errors are ignored.
+        let _is_killed = process.kill().is_ok();
+        let _is_reaped = process.wait().is_ok();
+    }
+}
+
+/// A store, two agents and the backend server of the second one.
+pub struct AgentFleet {
+    /// The agents.
+    pub agents: [AgentProcess; 2],
+    /// Heads of the requests that the backend server got.
+    pub requests: Rc<RefCell<Vec<String>>>,
+    _store: Rc<StandinStore>,
+    next_id: Cell<u64>,
+}
+
+impl AgentFleet {
+    /// Starts a fleet whose backend server is played by `serve`, and waits until it serves requests.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the fleet can't be started.
+    pub async fn start(serve: ServeFn) -> Self {
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let [.., high, low] = std::process::id().to_be_bytes();
+        let ip = |host: u8| IpAddr::V4(Ipv4Addr::new(127, 100 + number * 3 + host, high, low));
+        let store_address = SocketAddr::new(ip(2), 7_300);
+        let store = StandinStore::serve(store_address)
+            .await
+            .expect("failed to start the store");
+        store.put("op/config", &configuration());
+        let folder = std::env::temp_dir().join(format!("jyedge-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("failed to create the folder");
+        let services = ["front", SERVICE];
+        let agents = [0_u8, 1].map(|host| {
+            let service = services[usize::from(host)];
+            start_agent(ip(host), service, store_address, &folder)
+        });
+        let requests = Rc::new(RefCell::new(Vec::new()));
+        let backend = SocketAddr::new(ip(1), 7_200);
+        let listener = TcpListener::bind(backend)
+            .await
+            .expect("failed to bind the backend server");
+        actix_rt::spawn(accept(listener, serve, Rc::clone(&requests)));
+        actix_rt::spawn(announce(backend, SocketAddr::new(ip(1), 7_102)));
+        let fleet = Self {
+            agents,
+            requests,
+            _store: store,
+            next_id: Cell::new(0),
+        };
+        fleet.wait_until_ready().await;
+        fleet
+    }
+
+    /// Waits until both agents serve requests.
+    ///
+    /// # Panics
+    ///
+    /// Panics if they don't in time.
+    async fn wait_until_ready(&self) {
+        let deadline = clock::now().plus(START_MS);
+        for agent in &self.agents {
+            loop {
+                let result = self.send(agent, GOOD_PATH, Bytes::new()).await;
+                if result.is_ok_and(|response| response.status == StatusCode::OK) {
+                    break;
+                }
+                assert!(clock::now() < deadline, "not ready:\n{}", agent.log());
+                sleep(Duration::from_millis(POLL_MS)).await;
+            }
+        }
+        self.requests.borrow_mut().clear();
+    }
+
+    /// Returns the id of the next request.
+    fn next_id(&self) -> String {
+        self.next_id.set(self.next_id.get() + 1);
+        format!("r-{}", self.next_id.get())
+    }
+
+    /// Sends a caller's request on a new connection.
+    ///
+    /// # Errors
+    ///
+    /// The error of the exchange.
+    pub async fn send(
+        &self,
+        agent: &AgentProcess,
+        path: &str,
+        body: Bytes,
+    ) -> Result<HttpResponse, ExchangeError> {
+        let method = if body.is_empty() {
+            Method::GET
+        } else {
+            Method::POST
+        };
+        let request = HttpRequest::new(method, path)
+            .with_header("host", HOST)
+            .with_header("x-request-id", &self.next_id())
+            .with_header("x-deadline-ms", &ROUTE_TIMEOUT_MS.to_string())
+            .with_body(body);
+        let options = SendOptions {
+            connect_timeout_ms: 1_000,
+            response_timeout_ms: ROUTE_TIMEOUT_MS + 2_000,
+            max_idle_ms: 0,
+            max_bytes_per_ms: None,
+        };
+        ConnectionPool::new()
+            .send(agent.caller, &request, None, options)
+            .await
+    }
+}
+
+/// Returns a configuration with a route for idempotent requests, `/safe/`, and one for others, `/once/`.
+fn configuration() -> serde_json::Value {
+    let route = |name: &str, kind: &str| {
+        let prefix = format!("/{name}/");
+        json!([
+            name,
+            HOST,
+            prefix,
+            kind,
+            ROUTE_TIMEOUT_MS,
+            1_000,
+            2,
+            2,
+            SERVICE
+        ])
+    };
+    json!({
+        "version": "r1",
+        "routes": {
+            "columns": ["name", "host", "prefix", "kind", "timeout_ms", "target_latency_ms", "priority", "max_attempts",
+                        "service"],
+            "rows": [route("safe", "safe"), route("once", "unsafe")],
+        },
+        "services": {
+            "columns": ["name", "health_path", "max_connections", "cold_start_s", "cold_per_s", "sharded"],
+            "rows": [["front", "/health", 110, 3.0, 1_000.0, false], [SERVICE, "/health", 110, 3.0, 1_000.0, false]],
+        },
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 16 * 1024 * 1024,
+            "header_timeout_ms": 5_000,
+            "idle_timeout_ms": 15_000,
+        },
+    })
+}
+
+/// Starts an agent that listens on `ip`.
+///
+/// # Panics
+///
+/// Panics if it can't be started.
+fn start_agent(ip: IpAddr, service: &str, store: SocketAddr, folder: &Path) -> AgentProcess {
+    let address = |port: u16| SocketAddr::new(ip, port);
+    let settings = json!({
+        "name": format!("n-{service}"),
+        "zone": "z",
+        "service": service,
+        "backend": address(7_200).to_string(),
+        "listen": {
+            "caller": address(7_100).to_string(),
+            "ready": address(7_101).to_string(),
+            "announce": address(7_102).to_string(),
+            "gate": address(7_103).to_string(),
+            "metrics": address(7_104).to_string(),
+        },
+        "store": store.to_string(),
+        "bounds": {
+            "announce_every_ms": ANNOUNCE_INTERVAL_MS,
+            "longest_grant_ms": 10_000,
+            "grace_s": GRACE_S,
+            "retry_ratio": 0.2,
+            "retry_slack": 1_000,
+            "retry_window_s": 10,
+        },
+    });
+    let settings_path = folder.join(format!("{service}.jsonc"));
+    std::fs::write(&settings_path, settings.to_string()).expect("failed to write the settings");
+    let log_path = folder.join(format!("{service}.log"));
+    let log = File::create(&log_path).expect("failed to create the log");
+    let error_log = log.try_clone().expect("failed to share the log");
+    let process = Command::new(env!("CARGO_BIN_EXE_jyedge"))
+        .arg("--config")
+        .arg(&settings_path)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(error_log)
+        .spawn()
+        .expect("failed to start the agent");
+    AgentProcess {
+        caller: address(7_100),
+        process: RefCell::new(process),
+        log_path,
+    }
+}
+
+/// Announces the backend server at `backend` to the agent beside it, again and again.
+async fn announce(backend: SocketAddr, agent: SocketAddr) {
+    let pool = ConnectionPool::new();
+    let started_at = clock::wall_now().0;
+    for sequence in 1_u64.. {
+        let body = json!({
+            "address": backend.to_string(),
+            "born": started_at,
+            "info": {"service": SERVICE, "version": "v1", "zone": "z", "slots": 64},
+            "status": {"state": "ready", "sequence": sequence, "cold_remaining_ms": 0},
+            "holds": [],
+            "freed": [],
+        });
+        let request = HttpRequest::new(Method::PUT, &format!("/instances/{BACKEND_ID}"))
+            .with_header("host", "agent")
+            .with_body(body.to_string().into());
+        let options = SendOptions {
+            connect_timeout_ms: 1_000,
+            response_timeout_ms: 1_000,
+            max_idle_ms: ANNOUNCE_INTERVAL_MS * 2,
+            max_bytes_per_ms: None,
+        };
+        // The agent may not listen yet, or no longer; the next announcement follows in any case.
+        let _outcome = pool.send(agent, &request, None, options).await;
+        sleep(Duration::from_millis(ANNOUNCE_INTERVAL_MS)).await;
+    }
+}
+
+/// Accepts the connections of the backend server. Answers good requests and status checks itself.
+async fn accept(listener: TcpListener, serve: ServeFn, requests: Rc<RefCell<Vec<String>>>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let (serve, requests) = (Rc::clone(&serve), Rc::clone(&requests));
+        actix_rt::spawn(async move {
+            let Some(head) = read_head(&mut stream).await else {
+                return;
+            };
+            let path = head.split(' ').nth(1).unwrap_or_default();
+            if path != GOOD_PATH && path != "/health" {
+                requests.borrow_mut().push(head.clone());
+                serve(stream, head).await;
+                return;
+            }
+            let response = whole_response(&head);
+            // The agent may have closed the connection.
+            let _written = stream.write_all(response.as_bytes()).await;
+        });
+    }
+}
+
+/// Reads the head of a request, or returns `None` if the connection ends before.
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut head = Vec::new();
+    let mut byte = [0_u8; 1];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).await.ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).ok()
+}
+
+/// Returns the id of the request with this head.
+fn request_id(head: &str) -> &str {
+    let id = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(": ")?;
+        name.eq_ignore_ascii_case("x-request-id").then_some(value)
+    });
+    id.unwrap_or_default()
+}
+
+/// Returns the headers with which a backend server signs its response to the request with this head.
+pub fn signature(head: &str) -> String {
+    let id = request_id(head);
+    format!("x-request-id: {id}\r\nx-response-seal: {SEAL}\r\nx-instance-id: {BACKEND_ID}\r\n")
+}
+
+/// Returns the response of a backend server without a fault.
+fn whole_response(head: &str) -> String {
+    let signature = signature(head);
+    format!("HTTP/1.1 200 OK\r\n{signature}connection: close\r\ncontent-length: 5\r\n\r\nwhole")
+}
--- /dev/null
+++ b/crates/edge/tests/test_agent_process/main.rs
@@ -0,0 +1,4 @@
+//! Tests of agents as processes of their own: what their callers get.
+
+mod broken_responses;
+mod fleet;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,6 +1,7 @@
 //! A client connection, which carries one request at a time and reports whether a failed one may have run.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::collections::BTreeSet;
 use std::hash::DefaultHasher;
 use std::hash::Hash;
@@ -238,6 +239,7 @@
         self.carried_ids
             .extend(check.map(|check| id_hash(check.id)));
         let written = Cell::new(0_usize);
+        let write_failure = OnceCell::new();
         let is_cut = Cell::new(false);
         let codec = std::mem::replace(&mut self.codec, ClientCodec::new(codec_config()));
         let outcome = {
@@ -248,6 +250,7 @@
                 buffer: &mut self.buffer,
                 memory: self.memory.as_ref(),
                 kind: self.response_kind,
+                write_failure: &write_failure,
                 is_cut: &is_cut,
             };
             let response_future = read_matching_response(&mut source, codec, check, is_head);
@@ -255,18 +258,17 @@
             let write_future =
                 write_counted(&mut writer, [&head, &body], &written, max_bytes_per_ms);
             tokio::pin!(write_future);
-            let mut write_failure: Option<Name> = None;
             loop {
+                let is_writing = written.get() < total_bytes && write_failure.get().is_none();
                 tokio::select! {
                     biased;
-                    result = &mut write_future, if written.get() < total_bytes && write_failure.is_none() => {
-                        match result {
-                            Ok(()) => {}
-                            Err(error) if written.get() == 0 => {
-                                let cause = error.to_string().into();
+                    result = &mut write_future, if is_writing => {
+                        if let Err(error) = result {
+                            let cause: Name = error.to_string().into();
+                            if written.get() == 0 {
                                 return Err(ExchangeError::NotSent { to, cause });
                             }
-                            Err(error) => write_failure = Some(error.to_string().into()),
+                            write_failure.get_or_init(|| cause);
                         }
                     }
                     outcome = &mut response_future => break outcome,
--- a/crates/http/src/client/response.rs
+++ b/crates/http/src/client/response.rs
@@ -1,6 +1,7 @@
 //! Reads the response that belongs to a request.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::rc::Rc;
 
 use actix_http::ResponseHead;
@@ -52,6 +53,8 @@
     pub(super) memory: Option<&'a Rc<MemoryBudget>>,
     /// As what responses are counted.
     pub(super) kind: MemoryKind,
+    /// Error of the write of the request, if it has failed.
+    pub(super) write_failure: &'a OnceCell<Name>,
     /// Set if the server ends the connection.
     pub(super) is_cut: &'a Cell<bool>,
 }
@@ -269,7 +272,9 @@
 ///
 /// # Errors
 ///
-/// A description if reading fails, for example on a reset: the end of the body may then be missing.
+/// A description if reading fails, for example on a reset: the end of the body may then be missing. The same if the
+/// write of the request has failed: the socket reports an error only once, and the next read sees the end of the
+/// connection instead.
 async fn read_until_close(
     source: &mut ResponseSource<'_, '_>,
 ) -> Result<(Bytes, Option<MemoryShare>)> {
@@ -278,6 +283,10 @@
         memory.extend_unknown(source.buffer.len()).await;
         match source.reader.read_buf(source.buffer).await {
             Ok(0) => {
+                if let Some(error) = source.write_failure.get() {
+                    let text = format!("the connection ended while the request was sent: {error}");
+                    return Err(text.into());
+                }
                 let memory = memory.finish(source.buffer.capacity());
                 return Ok((source.buffer.split().freeze(), memory));
             }
