http: count a reset in a body without a length as the server's end

By the code, the bound on the bytes that a backend server holds learns from connections that the server ends; a reset in the middle of a body without a length was not counted as one, so that large bodies could go on to be sent to a server that crashes with them.

Cause: the flag of the exchange was set where heads, lengths and chunks are read, but not where a body is read until the connection ends.

Evidence: test_cut_uploads checks the flag in all its variants.

Change: all reads of a response go through one function that sets the flag. Reading until the end of the connection is then like the others.

--- a/crates/http/src/client/response.rs
+++ b/crates/http/src/client/response.rs
@@ -281,18 +281,16 @@
     let mut memory = source.body_memory();
     loop {
         memory.extend_unknown(source.buffer.len()).await;
-        match source.reader.read_buf(source.buffer).await {
-            Ok(0) => {
-                if let Some(error) = source.write_failure.get() {
-                    let text = format!("the connection ended while the request was sent: {error}");
-                    return Err(text.into());
-                }
-                let memory = memory.finish(source.buffer.capacity());
-                return Ok((source.buffer.split().freeze(), memory));
-            }
-            Ok(_) => check_length(source.buffer.len())?,
-            Err(error) => return Err(error.to_string().into()),
+        if read_bytes(source).await? > 0 {
+            check_length(source.buffer.len())?;
+            continue;
         }
+        if let Some(error) = source.write_failure.get() {
+            let text = format!("the connection ended while the request was sent: {error}");
+            return Err(text.into());
+        }
+        let memory = memory.finish(source.buffer.capacity());
+        return Ok((source.buffer.split().freeze(), memory));
     }
 }
 
@@ -315,11 +313,19 @@
 ///
 /// A description if the connection ends or reading fails.
 async fn read_more(source: &mut ResponseSource<'_, '_>) -> Result<()> {
+    match read_bytes(source).await? {
+        0 => Err("the connection ended before the answer".into()),
+        _ => Ok(()),
+    }
+}
+
+/// Reads bytes into the buffer and returns their number, which is 0 at the end of the connection.
+///
+/// # Errors
+///
+/// A description if reading fails.
+async fn read_bytes(source: &mut ResponseSource<'_, '_>) -> Result<usize> {
     let result = source.reader.read_buf(source.buffer).await;
     source.is_cut.set(matches!(result, Ok(0) | Err(_)));
-    match result {
-        Ok(0) => Err("the connection ended before the answer".into()),
-        Ok(_) => Ok(()),
-        Err(error) => Err(error.to_string().into()),
-    }
+    result.map_err(|error| error.to_string().into())
 }
--- a/crates/http/tests/test_cut_uploads.rs
+++ b/crates/http/tests/test_cut_uploads.rs
@@ -248,6 +248,8 @@
                 let error = result.err();
                 let may_have_run = error.as_ref().map(ExchangeError::may_have_run);
                 expect_that!(may_have_run, some(eq(true)), "{plan:?}: {error:?}");
+                let is_cut = error.as_ref().map(ExchangeError::is_cut);
+                expect_that!(is_cut, some(eq(true)), "{plan:?}: {error:?}");
             }
         }
     });
