edge: test undefined statuses through the agent

Cause: that a status which HTTP does not define is no answer was tested at the client's functions only, which does not show what callers get.

Change: a test with agents as processes, for nine such statuses, with a length and without one, on both routes and from both agents.

Result: it passes on the code as it was; nothing else is changed.

--- a/crates/edge/tests/test_agent_process/broken_responses.rs
+++ b/crates/edge/tests/test_agent_process/broken_responses.rs
@@ -2,6 +2,7 @@
 //!
 //! The backend server is a socket whose bytes the test writes.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,17 +23,17 @@
 /// A request that does not fit into the buffers of the sockets, in bytes.
 const LARGE_BYTES: usize = 8 * 1024 * 1024;
 
-/// Sends a request on each route to each agent, and checks that no caller takes the broken response, described by
-/// `case`, for a complete one, and that a request that may run once reaches the backend server once.
+/// Sends a request to `/ROUTE/name` on each route to each agent, and checks that no caller takes the broken response for
+/// an answer, and that a request that may run once reaches the backend server once. `case` describes the response.
 ///
 /// # Panics
 ///
 /// Panics if an agent does not answer.
-async fn expect_failure(fleet: &AgentFleet, case: &str, body: &Bytes) {
+async fn expect_failure(fleet: &AgentFleet, name: &str, case: &str, body: &Bytes) {
     for (number, agent) in fleet.agents.iter().enumerate() {
         for route in ["safe", "once"] {
             fleet.requests.borrow_mut().clear();
-            let path = format!("/{route}/{case}");
+            let path = format!("/{route}/{name}");
             let result = fleet.send(agent, &path, body.clone()).await;
             let response = result.expect("the agent answers");
             let case = format!("{case}, {route}, agent {number}, {} bytes", body.len());
@@ -53,6 +54,30 @@
     expect_that!(is_sealed, eq(false), "{case}");
 }
 
+/// The response that the backend server sends to each request, with `SIGNED` in place of its signature.
+type SharedResponse = Rc<RefCell<String>>;
+
+/// Starts a fleet whose backend server sends the returned response and closes the connection.
+async fn start_responding() -> (AgentFleet, SharedResponse) {
+    let response = SharedResponse::default();
+    let text = Rc::clone(&response);
+    let serve: ServeFn = Rc::new(move |mut stream, head| {
+        let text = text.borrow().replace("SIGNED\r\n", &signature(&head));
+        Box::pin(async move {
+            // The agent may have given the request up.
+            let _written = stream.write_all(text.as_bytes()).await;
+        })
+    });
+    (AgentFleet::start(serve).await, response)
+}
+
+/// Checks that callers don't get this response of the backend server, as [`expect_failure`] does.
+async fn expect_rejected(fleet: &AgentFleet, response: &SharedResponse, text: String) {
+    let case = format!("{text:?}");
+    response.replace(text);
+    expect_failure(fleet, "x", &case, &Bytes::new()).await;
+}
+
 /// Writes the response that the path of a request names, and cuts the connection as it names.
 ///
 /// # Panics
@@ -102,10 +127,26 @@
             for cut in ["reset", "unread", "late-reset", "late-unread"] {
                 for sent in ["nothing", "half-head", "head", "part"] {
                     let case = format!("{framing}-{sent}-{cut}");
-                    expect_failure(&fleet, &case, &small).await;
+                    expect_failure(&fleet, &case, &case, &small).await;
                 }
                 let case = format!("{framing}-part-{cut}");
-                expect_failure(&fleet, &case, &large).await;
+                expect_failure(&fleet, &case, &case, &large).await;
+            }
+        }
+    });
+}
+
+/// Guards against a response with a status that HTTP does not define, such as 000.
+#[gtest]
+fn answer_undefined_status_is_a_failure() {
+    actix_rt::System::new().block_on(async {
+        let (fleet, response) = start_responding().await;
+        for status in [
+            "000", "001", "099", "20", "2000", "-20", "2x0", "600", "999",
+        ] {
+            for rest in ["content-length: 5\r\n\r\nwhole", "\r\nwhole"] {
+                let text = format!("HTTP/1.1 {status} OK\r\nSIGNED\r\n{rest}");
+                expect_rejected(&fleet, &response, text).await;
             }
         }
     });
