http: end a response whose status has no body with its head

What callers saw: bytes behind the head of a 204 or 304, on a connection that stays open, where the next response is due. A 304 with the length that HTTP allows it counted as one whose body is missing.

Cause: the codec reads a body wherever a head states one, and the listener encodes such a head without a length but writes the body.

Change: the client reads no body for these statuses, so that none can be passed on, and does not use the connection again if the head states one.

--- a/crates/edge/tests/test_agent_process/broken_responses.rs
+++ b/crates/edge/tests/test_agent_process/broken_responses.rs
@@ -10,11 +10,15 @@
 use googletest::prelude::*;
 use jy_http::message::HttpResponse;
 use socket2::SockRef;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::fleet::AgentFleet;
+use crate::fleet::AgentProcess;
+use crate::fleet::HOST;
 use crate::fleet::ServeFn;
 use crate::fleet::signature;
 
@@ -22,6 +26,8 @@
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// A request that does not fit into the buffers of the sockets, in bytes.
 const LARGE_BYTES: usize = 8 * 1024 * 1024;
+/// Time in which an agent sends whatever it sends for a request, in milliseconds.
+const QUIET_MS: u64 = 300;
 
 /// Sends a request to `/ROUTE/name` on each route to each agent, and checks that no caller takes the broken response for
 /// an answer, and that a request that may run once reaches the backend server once. `case` describes the response.
@@ -192,3 +198,53 @@
         }
     });
 }
+
+/// Returns all bytes that an agent sends in answer to one request on a connection that stays open.
+///
+/// # Panics
+///
+/// Panics if the agent can't be reached.
+async fn read_raw_answer(fleet: &AgentFleet, agent: &AgentProcess) -> String {
+    let mut stream = TcpStream::connect(agent.caller)
+        .await
+        .expect("failed to connect");
+    let id = fleet.next_id();
+    let request = format!(
+        "GET /safe/x HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\nx-deadline-ms: 2000\r\n\r\n"
+    );
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("failed to write the request");
+    let mut bytes = Vec::new();
+    let read = stream.read_to_end(&mut bytes);
+    let _is_open = timeout(Duration::from_millis(QUIET_MS), read)
+        .await
+        .is_err();
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Guards against a body behind a response that has none: the caller takes its bytes for the next response on the
+/// connection.
+#[gtest]
+fn answer_body_of_bodiless_status_is_dropped() {
+    actix_rt::System::new().block_on(async {
+        let (fleet, response) = start_responding().await;
+        for status in ["204 No Content", "304 Not Modified"] {
+            for framing in [
+                "content-length: 5\r\n\r\nwhole",
+                "transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+                "\r\nwhole",
+            ] {
+                response.replace(format!("HTTP/1.1 {status}\r\nSIGNED\r\n{framing}"));
+                for agent in &fleet.agents {
+                    let answer = read_raw_answer(&fleet, agent).await;
+                    let body = answer.split_once("\r\n\r\n").map(|(_, body)| body);
+                    let is_own_failure = answer.starts_with("HTTP/1.1 502");
+                    let has_body = body.is_some_and(|body| !body.is_empty());
+                    expect_that!(has_body && !is_own_failure, eq(false), "{answer:?}");
+                }
+            }
+        }
+    });
+}
--- a/crates/edge/tests/test_agent_process/fleet.rs
+++ b/crates/edge/tests/test_agent_process/fleet.rs
@@ -44,7 +44,7 @@
 /// Id of the backend server.
 const BACKEND_ID: &str = "i-1";
 /// Host of all routes.
-const HOST: &str = "h.example";
+pub const HOST: &str = "h.example";
 /// Service of the second agent's backend server.
 const SERVICE: &str = "s";
 const ANNOUNCE_INTERVAL_MS: u64 = 200;
@@ -156,7 +156,7 @@
     }
 
     /// Returns the id of the next request.
-    fn next_id(&self) -> String {
+    pub fn next_id(&self) -> String {
         self.next_id.set(self.next_id.get() + 1);
         format!("r-{}", self.next_id.get())
     }
--- a/crates/http/src/client/response.rs
+++ b/crates/http/src/client/response.rs
@@ -23,6 +23,7 @@
 use crate::memory_budget::MemoryShare;
 use crate::memory_budget::SMALL_RESPONSE_BYTES;
 use crate::message::HttpResponse;
+use crate::message::codec_config;
 use crate::message::header_text;
 
 /// Result with a description of why there is no complete response.
@@ -157,7 +158,12 @@
     let is_bodiless = matches!(codec.message_type(), MessageType::None);
     let is_close_delimited =
         is_bodiless && !is_head && may_have_body(status) && !has_content_length(&head);
-    let (body, memory, codec) = if is_close_delimited {
+    // A server may send a body although the status has none.
+    let may_be_followed = !may_have_body(status) && states_body(&head);
+    let (body, memory, codec) = if may_be_followed {
+        // The codec expects that body.
+        (Bytes::new(), None, ClientCodec::new(codec_config()))
+    } else if is_close_delimited {
         let (body, memory) = read_until_close(source).await?;
         (body, memory, codec)
     } else if is_bodiless {
@@ -174,7 +180,7 @@
     Ok(ReadOutcome {
         response,
         codec,
-        is_clean: is_keep_alive && !is_close_delimited,
+        is_clean: is_keep_alive && !is_close_delimited && !may_be_followed,
     })
 }
 
@@ -196,6 +202,11 @@
     head.headers().contains_key(header::CONTENT_LENGTH)
 }
 
+/// Whether the head of a response says how a body is delimited.
+fn states_body(head: &ResponseHead) -> bool {
+    has_content_length(head) || head.headers().contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Returns the size of the body that the head of a response states, unless it is chunked.
 fn content_length(head: &ResponseHead) -> Option<usize> {
     if head.headers().contains_key(header::TRANSFER_ENCODING) {
--- a/crates/http/tests/test_exchange.rs
+++ b/crates/http/tests/test_exchange.rs
@@ -391,3 +391,34 @@
         ));
     }
 }
+
+/// Guards against bytes behind a response without a body that callers get as a part of it.
+#[gtest]
+fn exchange_body_of_bodiless_status_is_not_passed_on() {
+    for status in ["204 No Content", "304 Not Modified"] {
+        for framing in [
+            "content-length: 2\r\n\r\nok",
+            "transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+            "\r\nok",
+        ] {
+            let response = format!("HTTP/1.1 {status}\r\nx-request-id: mine\r\n{framing}");
+            let outcome = run(response.as_bytes(), false).ok();
+            let body = outcome.as_ref().map(|outcome| &outcome.response.body);
+            let has_body = body.is_some_and(|body| !body.is_empty());
+            expect_that!(has_body, eq(false), "{response:?}");
+            let is_kept = outcome.is_some_and(|outcome| outcome.connection.is_some());
+            expect_that!(is_kept, eq(false), "{response:?}");
+        }
+    }
+}
+
+/// Guards against a response that is waited for in vain: it states the length that another one would have.
+#[gtest]
+fn exchange_not_modified_with_length_is_complete() {
+    let outcome = run(
+        b"HTTP/1.1 304 Not Modified\r\nx-request-id: mine\r\ncontent-length: 2\r\n\r\n",
+        false,
+    );
+    let outcome = outcome.expect("the response has no body");
+    expect_that!(outcome.response.body.is_empty(), eq(true));
+}
