edge: a status alone does not say that a request has not run

What callers saw: 408, 429 or 503 of a backend server that had not said that it did not run the request. Callers take these statuses for a promise that it has not run, and may send a request that may run once again.

Cause: the gate took the response for that of a request that ran, and passed the status on, where it means the opposite.

Change: the outcome of such a response is unknown, so that the caller gets 502, or another attempt is made for an idempotent request. X-Not-Executed and 421 mean "not run" as before; response_kind is unchanged.

--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -260,6 +260,16 @@
             retry_ms: UNAVAILABLE_RETRY_MS,
         };
         match headers::response_kind(&response) {
+            // The request may have run, and callers would take the status for a promise that it has not.
+            ResponseKind::Ran if headers::promises_not_executed(response.status) => {
+                let status = response.status.as_u16();
+                let reason = format!(
+                    "the answer's status {status} alone does not say what became of the request"
+                );
+                GateOutcome::Unknown {
+                    reason: reason.into(),
+                }
+            }
             ResponseKind::Ran => {
                 self.record_service_time(rule, now.since(sent_at) as f64);
                 let mut response = response;
--- a/crates/edge/tests/test_agent_process/broken_responses.rs
+++ b/crates/edge/tests/test_agent_process/broken_responses.rs
@@ -20,6 +20,7 @@
 use crate::fleet::AgentProcess;
 use crate::fleet::HOST;
 use crate::fleet::ServeFn;
+use crate::fleet::request_id;
 use crate::fleet::signature;
 
 /// Statuses by which a response says that its request has not run and will not.
@@ -60,7 +61,8 @@
     expect_that!(is_sealed, eq(false), "{case}");
 }
 
-/// The response that the backend server sends to each request, with `SIGNED` in place of its signature.
+/// The response that the backend server sends to each request, with `SIGNED` in place of its signature and `ID` in place
+/// of the request's id.
 type SharedResponse = Rc<RefCell<String>>;
 
 /// Starts a fleet whose backend server sends the returned response and closes the connection.
@@ -69,6 +71,7 @@
     let text = Rc::clone(&response);
     let serve: ServeFn = Rc::new(move |mut stream, head| {
         let text = text.borrow().replace("SIGNED\r\n", &signature(&head));
+        let text = text.replace("ID\r\n", &format!("{}\r\n", request_id(&head)));
         Box::pin(async move {
             // The agent may have given the request up.
             let _written = stream.write_all(text.as_bytes()).await;
@@ -287,3 +290,20 @@
         }
     });
 }
+
+/// Guards against a status by which callers understand that their request has not run, in a response that does not say
+/// so: they send a request that may run once again.
+#[gtest]
+fn answer_not_run_status_alone_is_a_failure() {
+    actix_rt::System::new().block_on(async {
+        let (fleet, response) = start_responding().await;
+        for status in ["408 Late", "429 Many", "503 Busy"] {
+            for signature in ["SIGNED\r\n", "x-request-id: ID\r\n"] {
+                for framing in ["content-length: 5\r\n\r\nwhole", "\r\nwhole"] {
+                    let text = format!("HTTP/1.1 {status}\r\n{signature}{framing}");
+                    expect_rejected(&fleet, &response, text).await;
+                }
+            }
+        }
+    });
+}
--- a/crates/edge/tests/test_agent_process/fleet.rs
+++ b/crates/edge/tests/test_agent_process/fleet.rs
@@ -342,7 +342,7 @@
 }
 
 /// Returns the id of the request with this head.
-fn request_id(head: &str) -> &str {
+pub fn request_id(head: &str) -> &str {
     let id = head.lines().find_map(|line| {
         let (name, value) = line.split_once(": ")?;
         name.eq_ignore_ascii_case("x-request-id").then_some(value)
