edge: test endless responses through the agent

Cause: operators of similar systems saw an agent keep bytes without an end, in a head or in a body, until it ran out of memory. Here this was tested at the client's functions only, for one response at a time.

Change: a test with agents as processes: twelve kinds of endless bytes, 16 at once, on both routes and from both agents. Callers get a failure of unknown outcome, the agents stay within their memory and serve the next request.

--- a/crates/edge/tests/test_agent_process/broken_responses.rs
+++ b/crates/edge/tests/test_agent_process/broken_responses.rs
@@ -2,11 +2,14 @@
 //!
 //! The backend server is a socket whose bytes the test writes.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::StatusCode;
 use bytes::Bytes;
+use futures_util::future::join_all;
 use googletest::prelude::*;
 use jy_http::message::HttpResponse;
 use socket2::SockRef;
@@ -18,7 +21,9 @@
 
 use crate::fleet::AgentFleet;
 use crate::fleet::AgentProcess;
+use crate::fleet::GOOD_PATH;
 use crate::fleet::HOST;
+use crate::fleet::MEMORY_KB;
 use crate::fleet::ServeFn;
 use crate::fleet::request_id;
 use crate::fleet::signature;
@@ -27,6 +32,8 @@
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// A request that does not fit into the buffers of the sockets, in bytes.
 const LARGE_BYTES: usize = 8 * 1024 * 1024;
+/// Number of endless responses at the same time.
+const ENDLESS_RESPONSES: usize = 16;
 /// Time in which an agent sends whatever it sends for a request, in milliseconds.
 const QUIET_MS: u64 = 300;
 
@@ -307,3 +314,69 @@
         }
     });
 }
+
+/// Sends `start`, and then `part` again and again until the connection is closed.
+async fn serve_endless(mut stream: TcpStream, start: String, part: &str) {
+    let block = part.repeat(1 + 16 * 1024 / part.len());
+    let mut written = stream.write_all(start.as_bytes()).await;
+    while written.is_ok() {
+        written = stream.write_all(block.as_bytes()).await;
+    }
+}
+
+/// Guards against bytes without an end, in a head or in a body, which an agent keeps until it runs out of memory.
+#[gtest]
+fn answer_endless_bytes_is_a_failure_in_bounded_memory() {
+    const STARTS: [(&str, &str); 12] = [
+        ("", "no response at all "),
+        ("", "HTTP/1.1 102 Processing\r\n\r\n"),
+        ("HTTP/1.1 200 ", "reason "),
+        ("HTTP/1.1 200 OK\r\nSIGNED\r\n", "x-note"),
+        ("HTTP/1.1 200 OK\r\nSIGNED\r\nx-note: ", "n"),
+        ("HTTP/1.1 200 OK\r\nSIGNED\r\n", "x-note: n\r\n"),
+        ("HTTP/1.1 200 OK\r\nSIGNED\r\n\r\n", "body "),
+        (
+            "HTTP/1.1 200 OK\r\nSIGNED\r\ncontent-length: 100000000000\r\n\r\n",
+            "body ",
+        ),
+        ("CHUNKS", "5\r\nbody \r\n"),
+        ("CHUNKS5;x=", "extension"),
+        ("CHUNKS5", "          "),
+        ("CHUNKS0\r\n", "x-trailer: t\r\n"),
+    ];
+    actix_rt::System::new().block_on(async {
+        let start = Rc::new(Cell::new(STARTS[0]));
+        let shared = Rc::clone(&start);
+        let serve: ServeFn = Rc::new(move |stream, head| {
+            let (text, part) = shared.get();
+            let chunks = "HTTP/1.1 200 OK\r\nSIGNED\r\ntransfer-encoding: chunked\r\n\r\n";
+            let text = text.replace("CHUNKS", chunks);
+            let text = text.replace("SIGNED\r\n", &signature(&head));
+            Box::pin(serve_endless(stream, text, part))
+        });
+        let fleet = AgentFleet::start(serve).await;
+        for case in STARTS {
+            start.set(case);
+            for agent in &fleet.agents {
+                let requests = (0..ENDLESS_RESPONSES).map(|number| {
+                    let route = ["safe", "once"][number % 2];
+                    let path = format!("/{route}/x");
+                    let fleet = &fleet;
+                    async move { fleet.send(agent, &path, Bytes::new()).await }
+                });
+                for result in join_all(requests).await {
+                    let response = result.expect("the agent answers");
+                    expect_unknown_outcome(&response, &format!("{case:?}"));
+                }
+            }
+        }
+        for agent in &fleet.agents {
+            let result = fleet.send(agent, GOOD_PATH, Bytes::new()).await;
+            expect_that!(
+                result.is_ok_and(|response| response.status == StatusCode::OK),
+                eq(true)
+            );
+            expect_that!(agent.peak_memory_kb(), le(MEMORY_KB));
+        }
+    });
+}
--- a/crates/edge/tests/test_agent_process/fleet.rs
+++ b/crates/edge/tests/test_agent_process/fleet.rs
@@ -38,7 +38,7 @@
 use tokio::time::sleep;
 
 /// Path of a request that the backend server answers as it should. Requests to all other paths are served by the test.
-const GOOD_PATH: &str = "/safe/good";
+pub const GOOD_PATH: &str = "/safe/good";
 /// Signature of the backend server's responses.
 const SEAL: &str = "seal-1";
 /// Id of the backend server.
@@ -52,6 +52,9 @@
 const ROUTE_TIMEOUT_MS: u64 = 4_000;
 /// Time from SIGTERM to SIGKILL, in seconds.
 const GRACE_S: u64 = 6;
+/// Memory that an agent may use, in megabytes and in kilobytes.
+const MEMORY_MB: u64 = 160;
+pub const MEMORY_KB: u64 = MEMORY_MB * 1_000;
 /// Time for the agents to serve the first request, in milliseconds.
 const START_MS: u64 = 20_000;
 const POLL_MS: u64 = 50;
@@ -71,6 +74,20 @@
 }
 
 impl AgentProcess {
+    /// Returns the largest resident memory so far, in kilobytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.process.borrow().id());
+        let text = std::fs::read_to_string(path).expect("failed to read the state");
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        let number = number.and_then(|number| number.parse().ok());
+        number.expect("the process has ended")
+    }
+
     /// Returns the log.
     fn log(&self) -> String {
         std::fs::read_to_string(&self.log_path).unwrap_or_default()
@@ -250,6 +267,7 @@
             "metrics": address(7_104).to_string(),
         },
         "store": store.to_string(),
+        "memory_mb": MEMORY_MB,
         "bounds": {
             "announce_every_ms": ANNOUNCE_INTERVAL_MS,
             "longest_grant_ms": 10_000,
