http: limit what a body in chunks has beside its content

What callers saw: no answer until the time limit of the request, while the agent read bytes without an end. Memory was bounded.

Cause: the codec drops sizes and extensions of chunks and trailers as they arrive, so that no limit counted them.

Change: a body in chunks may have 64 KiB beside its content and 8 bytes for each of its bytes. Both grow only with content, which is limited, so that every response ends.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -252,6 +252,7 @@
                 memory: self.memory.as_ref(),
                 kind: self.response_kind,
                 write_failure: &write_failure,
+                received_bytes: 0,
                 is_cut: &is_cut,
             };
             let response_future = read_matching_response(&mut source, codec, check, is_head);
--- a/crates/http/src/client/response.rs
+++ b/crates/http/src/client/response.rs
@@ -29,6 +29,12 @@
 /// Result with a description of why there is no complete response.
 type Result<T> = std::result::Result<T, Name>;
 
+/// Bytes that a body in chunks may have beside its content: sizes and extensions of chunks, and trailers.
+const MAX_FRAMING_BYTES: usize = 64 * 1024;
+
+/// Further such bytes for each byte of the content. Chunks of one byte need five.
+const MAX_FRAMING_PER_BODY_BYTE: usize = 8;
+
 /// Number of informational responses after which the exchange fails.
 const MAX_INFORMATIONAL_RESPONSES: usize = 8;
 
@@ -57,6 +63,8 @@
     pub(super) kind: MemoryKind,
     /// Error of the write of the request, if it has failed.
     pub(super) write_failure: &'a OnceCell<Name>,
+    /// Number of bytes that were received.
+    pub(super) received_bytes: usize,
     /// Set if the server ends the connection.
     pub(super) is_cut: &'a Cell<bool>,
 }
@@ -96,6 +104,11 @@
 }
 
 impl ResponseSource<'_, '_> {
+    /// Returns the number of bytes that were received and decoded.
+    fn decoded_bytes(&self) -> usize {
+        self.received_bytes - self.buffer.len()
+    }
+
     /// Returns the memory of a body of which nothing is known yet.
     fn body_memory(&self) -> BodyMemory {
         let memory = self.memory;
@@ -282,6 +295,7 @@
     check_length(length)?;
     memory.extend(length).await;
     let mut body = BytesMut::with_capacity(length);
+    let start = source.decoded_bytes();
     loop {
         match codec.decode(source.buffer) {
             Ok(Some(Some(chunk))) => {
@@ -298,7 +312,10 @@
                 let memory = memory.finish(body.capacity());
                 return Ok((body.freeze(), memory, codec.into_message_codec()));
             }
-            Ok(None) => read_more(source).await?,
+            Ok(None) => {
+                check_framing(source.decoded_bytes() - start - body.len(), body.len())?;
+                read_more(source).await?;
+            }
             Err(error) => return Err(error.to_string().into()),
         }
     }
@@ -363,6 +380,20 @@
     Ok(())
 }
 
+/// Checks the number of bytes that a body of `body_bytes` bytes has beside its content. The codec drops them, so that they
+/// could go on until the time limit of the request.
+///
+/// # Errors
+///
+/// A description if there are too many.
+fn check_framing(framing_bytes: usize, body_bytes: usize) -> Result<()> {
+    if framing_bytes > MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * body_bytes {
+        let text = format!("a body of {body_bytes} bytes has {framing_bytes} bytes of framing");
+        return Err(text.into());
+    }
+    Ok(())
+}
+
 /// Reads more bytes into the buffer.
 ///
 /// # Errors
@@ -383,5 +414,7 @@
 async fn read_bytes(source: &mut ResponseSource<'_, '_>) -> Result<usize> {
     let result = source.reader.read_buf(source.buffer).await;
     source.is_cut.set(matches!(result, Ok(0) | Err(_)));
-    result.map_err(|error| error.to_string().into())
+    let count = result.map_err(|error| Name::from(error.to_string()))?;
+    source.received_bytes += count;
+    Ok(count)
 }
--- a/crates/http/tests/test_endless.rs
+++ b/crates/http/tests/test_endless.rs
@@ -112,3 +112,54 @@
     let head = "HTTP/1.1 200 OK\r\ncontent-length: 100000000000\r\n\r\n";
     expect_bounded(head, "aaaaaaaaaaaaaaaa");
 }
+
+#[gtest]
+fn send_endless_chunk_extension_is_bounded() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n10;x=";
+    expect_bounded(head, "aaaaaaaaaaaaaaaa");
+}
+
+#[gtest]
+fn send_endless_blanks_after_chunk_size_are_bounded() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n10";
+    expect_bounded(head, "                ");
+}
+
+#[gtest]
+fn send_endless_zeros_of_chunk_size_are_bounded() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0";
+    expect_bounded(head, "0000000000000000");
+}
+
+#[gtest]
+fn send_endless_chunks_of_one_byte_are_bounded() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    expect_bounded(head, "1\r\na\r\n");
+}
+
+#[gtest]
+fn send_endless_trailer_line_is_bounded() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+    expect_bounded(head, "aaaaaaaaaaaaaaaa");
+}
+
+#[gtest]
+fn send_endless_trailer_lines_are_bounded() {
+    let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+    expect_bounded(head, "x: aaaaaaaaaaa\r\n");
+}
+
+#[gtest]
+fn send_endless_empty_lines_are_bounded() {
+    expect_bounded("", "\r\n\r\n\r\n\r\n");
+}
+
+#[gtest]
+fn send_endless_reason_is_bounded() {
+    expect_bounded("HTTP/1.1 200 ", "aaaaaaaaaaaaaaaa");
+}
+
+#[gtest]
+fn send_endless_field_name_is_bounded() {
+    expect_bounded("HTTP/1.1 200 OK\r\n", "aaaaaaaaaaaaaaaa");
+}
