edge: refuse requests that the agent can't finish before it ends

What callers saw: in a planned stop, a 502 for a request that was complete only late in the grace time; another agent that had passed one on got no answer. Both had reached the backend server, which was at work on them.

Cause: a request of which a part has arrived when the listeners close is still read, and was passed on whenever it was complete, without a look at how long the agent would still run.

Evidence: on the code before, stop_late_requests_of_callers_are_not_cut got 502 and stop_late_requests_of_agents_are_not_cut no answer for an upload whose last byte arrived 5 s after SIGTERM, with a grace time of 6 s and 1 s of work; uploads that ended after 1.5, 3 and 4 s and requests on a kept connection were whole.

Change: when the listeners close, gateway and gate learn when the agent ends. A request read from then on is refused as not run if its time limit is later. One with an earlier time limit has its answer, if only of its time limit, before the agent ends; so none that is passed on can be cut.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -449,6 +449,16 @@
         let gate = Rc::clone(&self.gate);
         Box::pin(async move {
             match job {
+                Some(job) if gate.may_end_before(job.deadline) => {
+                    log::info!(
+                        "decision request refused: id={} left_ms={} is more than the agent has left",
+                        job.id,
+                        job.deadline.since(received_at)
+                    );
+                    let load = gate.load(received_at);
+                    let cause = NotRunCause::Unavailable;
+                    forward::encode_report(GateReport::not_run(cause, 0, Some(load)))
+                }
                 Some(job) => forward::encode_report(gate.serve(job).await),
                 None => {
                     let reason = "a forwarded request lacks its headers";
--- a/crates/edge/src/app/shutdown.rs
+++ b/crates/edge/src/app/shutdown.rs
@@ -21,6 +21,9 @@
 impl EdgeAgent {
     /// Shuts the agent down: reports it as not ready, closes the listeners after a delay, and waits for running
     /// requests.
+    ///
+    /// Requests that began to arrive before the listeners close are still read. One that could be unfinished at the end of
+    /// the wait is refused as not run.
     pub(super) async fn shut_down(&self, listeners: &[HttpListener]) {
         let started_at = clock::now();
         let grace_ms = self
@@ -38,6 +41,7 @@
         actix_rt::spawn(async move { quota.release().await });
         let drain_ms = CALLER_DRAIN_MS.min(grace_ms / 2);
         sleep(Duration::from_millis(drain_ms)).await;
+        self.gate.set_end(grace_end);
         for listener in listeners {
             listener.close();
         }
--- a/crates/edge/src/gate.rs
+++ b/crates/edge/src/gate.rs
@@ -105,6 +105,8 @@
     pub(crate) state: RefCell<GateState>,
     pub(crate) metrics: Rc<EdgeMetrics>,
     pub(crate) request_log: RequestLog,
+    /// When the agent ends its unfinished requests, once it accepts no more connections.
+    ends_at: Cell<Millis>,
 }
 
 /// Removes a request from the queue on drop, so that its slot is freed also if its handling is cancelled.
@@ -162,9 +164,21 @@
             state: RefCell::new(state),
             metrics,
             request_log: RequestLog::new(),
+            ends_at: Cell::new(Millis::MAX),
         }
     }
 
+    /// Sets when the agent ends its unfinished requests.
+    pub fn set_end(&self, ends_at: Millis) {
+        self.ends_at.set(ends_at);
+    }
+
+    /// Whether the agent may end before a request with this deadline is answered. It must then not be passed on.
+    #[must_use]
+    pub fn may_end_before(&self, deadline: Millis) -> bool {
+        self.ends_at.get() < deadline
+    }
+
     /// Sets the budget from which responses take memory, also those that a gateway with this gate reads from other
     /// agents.
     #[must_use]
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -72,6 +72,9 @@
 /// Retry delay while the agent has no configuration, in milliseconds.
 const NO_CONFIGURATION_RETRY_MS: u64 = 300;
 
+/// Reason for responses to requests that the agent can't finish before it ends.
+const SHUTTING_DOWN: &str = "the agent is shutting down";
+
 /// Serves callers' requests through the gates of this agent and of other agents.
 pub struct CallerGateway {
     node: Name,
@@ -269,6 +272,14 @@
             .unwrap_or(u64::MAX)
             .min(rule.timeout_ms);
         let deadline = received_at.plus(left_ms);
+        if self.gate.may_end_before(deadline) {
+            self.metrics.count(&rule.name, "late-at-stop");
+            log::info!(
+                "decision request refused: id={:?} left_ms={left_ms} is more than the agent has left",
+                caller_headers.request_id
+            );
+            return Err(refusal::not_run(SHUTTING_DOWN, 0, received_at, deadline));
+        }
         let api_key = self.authenticate(&mut request, &routes, rule, deadline)?;
         let is_call = self.is_call(&request, &routes, rule);
         let stated_ms = caller_headers.time_left_ms.filter(|_| !is_call);
@@ -406,11 +417,10 @@
             (result, _) => result,
         };
         let Some(result) = result else {
-            let reason = "the agent is shutting down";
             let response = if is_sent {
-                refusal::unknown(reason)
+                refusal::unknown(SHUTTING_DOWN)
             } else {
-                refusal::not_run(reason, call.retry_ms, now, call.job.deadline)
+                refusal::not_run(SHUTTING_DOWN, call.retry_ms, now, call.job.deadline)
             };
             self.record_outcome(now, &call, &response, "shutting-down");
             return response;
--- a/crates/edge/tests/test_agent_process/fleet.rs
+++ b/crates/edge/tests/test_agent_process/fleet.rs
@@ -30,6 +30,9 @@
 use jy_http::pool::SendOptions;
 use jy_kernel::clock;
 use jy_platform_standins::store::StandinStore;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
 use serde_json::json;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -51,7 +54,7 @@
 /// Time limit of all routes, in milliseconds.
 const ROUTE_TIMEOUT_MS: u64 = 4_000;
 /// Time from SIGTERM to SIGKILL, in seconds.
-const GRACE_S: u64 = 6;
+pub const GRACE_S: u64 = 6;
 /// Memory that an agent may use, in megabytes and in kilobytes.
 const MEMORY_MB: u64 = 160;
 pub const MEMORY_KB: u64 = MEMORY_MB * 1_000;
@@ -69,11 +72,34 @@
 pub struct AgentProcess {
     /// Address for callers.
     pub caller: SocketAddr,
+    /// Address for other agents.
+    pub gate: SocketAddr,
     process: RefCell<Child>,
     log_path: PathBuf,
 }
 
 impl AgentProcess {
+    /// Sends a signal.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it can't be sent.
+    pub fn signal(&self, signal: Signal) {
+        let id = self.process.borrow().id();
+        let pid = i32::try_from(id).ok().and_then(Pid::from_raw);
+        kill_process(pid.expect("the process has an id"), signal).expect("failed to signal");
+    }
+
+    /// Whether the process runs.
+    ///
+    /// # Panics
+    ///
+    /// Panics if its state can't be read.
+    pub fn is_running(&self) -> bool {
+        let state = self.process.borrow_mut().try_wait();
+        state.expect("failed to read the state").is_none()
+    }
+
     /// Returns the largest resident memory so far, in kilobytes.
     ///
     /// # Panics
@@ -89,7 +115,7 @@
     }
 
     /// Returns the log.
-    fn log(&self) -> String {
+    pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log_path).unwrap_or_default()
     }
 }
@@ -292,6 +318,7 @@
         .expect("failed to start the agent");
     AgentProcess {
         caller: address(7_100),
+        gate: address(7_103),
         process: RefCell::new(process),
         log_path,
     }
@@ -375,7 +402,7 @@
 }
 
 /// Returns the response of a backend server without a fault.
-fn whole_response(head: &str) -> String {
+pub fn whole_response(head: &str) -> String {
     let signature = signature(head);
     format!("HTTP/1.1 200 OK\r\n{signature}connection: close\r\ncontent-length: 5\r\n\r\nwhole")
 }
--- a/crates/edge/tests/test_agent_process/main.rs
+++ b/crates/edge/tests/test_agent_process/main.rs
@@ -2,3 +2,4 @@
 
 mod broken_responses;
 mod fleet;
+mod stops;
