agent, store: a status that HTTP does not define is no answer

What callers saw: nothing in a run of whole agents, which was not made; the tests are of the functions that send. An answer with the status 600 to 999, or an informational one, was passed on by jyagent; its client of the store took 999 for a refusal, after which a write has not taken effect.

Change: both readers check the status before anything else. Only what they pass on can reach a caller.

--- a/crates/agent/src/send.rs
+++ b/crates/agent/src/send.rs
@@ -1,6 +1,7 @@
 //! Sends a request to the next hop and reads the complete answer.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use actix_http::Method;
@@ -29,6 +30,9 @@
 
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
+/// Statuses of answers that HTTP defines, without informational ones, which no request asks for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Outcome of sending a request.
 #[derive(Clone, Debug)]
 pub enum SendOutcome {
@@ -91,6 +95,10 @@
         Err(error) => return failure_outcome(&error),
     };
     let headers = response.headers().clone();
+    let status = response.status().as_u16();
+    if !FINAL_STATUSES.contains(&status) {
+        return SendOutcome::Unknown(format!("the answer has the status {status}").into());
+    }
     if !has_known_length(response.status(), &headers, &exchange.method) {
         return SendOutcome::Unknown("the answer states no length".into());
     }
--- /dev/null
+++ b/crates/agent/tests/test_malformed_answers.rs
@@ -0,0 +1,74 @@
+//! Malformed responses of a backend server or of another agent.
+//!
+//! Guards against a response that is no answer, or whose body is not the one that was sent, and that callers get as an
+//! answer.
+
+use std::io;
+
+use actix_http::Method;
+use actix_http::header::HeaderMap;
+use bytes::Bytes;
+use googletest::prelude::*;
+use jy_agent::exchange::RequestExchange;
+use jy_agent::send;
+use jy_agent::send::SendOutcome;
+use jy_kernel::clock;
+use jy_types::time::WallMillis;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+/// Sends a request to a server that writes `text` and closes the connection.
+///
+/// # Errors
+///
+/// Returns an error if the server's address can't be bound.
+fn send_to(text: &str) -> io::Result<SendOutcome> {
+    let text = text.to_owned();
+    actix_rt::System::new().block_on(async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        actix_rt::spawn(async move {
+            let (mut stream, _) = listener.accept().await?;
+            let mut head = [0; 1_024];
+            let count = stream.read(&mut head).await?;
+            stream.write_all(text.as_bytes()).await?;
+            io::Result::Ok(count)
+        });
+        let exchange = RequestExchange {
+            method: Method::GET,
+            path: "/".into(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            workspace: "workspace".into(),
+            service: "service".into(),
+            key: None,
+            idempotency_key: None,
+            request_id: "id".into(),
+            timeout_ms: None,
+            received: WallMillis(0),
+        };
+        let deadline = clock::now().plus(60_000);
+        Ok(send::send(&send::client(1), address, &exchange, &[], deadline).await)
+    })
+}
+
+/// Checks that a response is not taken for an answer.
+///
+/// # Panics
+///
+/// Panics if the server can't be started.
+fn expect_unknown(text: &str) {
+    let outcome = send_to(text).expect("the server is started");
+    let is_unknown = matches!(outcome, SendOutcome::Unknown(_));
+    expect_that!(is_unknown, eq(true), "{text:?}: {outcome:?}");
+}
+
+#[gtest]
+fn send_undefined_status_has_unknown_outcome() {
+    for status in ["000", "099", "20", "2000", "600", "999", "101"] {
+        expect_unknown(&format!(
+            "HTTP/1.1 {status} OK\r\ncontent-length: 4\r\n\r\nfour"
+        ));
+    }
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -31,6 +31,9 @@
 
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
+/// Largest status that HTTP defines.
+const MAX_STATUS: u16 = 599;
+
 /// Result of a call to the store.
 pub type Result<T> = std::result::Result<T, StoreError>;
 
@@ -260,7 +263,8 @@
 ///
 /// # Errors
 ///
-/// [`StoreError::NoAnswer`] if the exchange fails, [`StoreError::Refused`] if the status is not 200.
+/// [`StoreError::NoAnswer`] if the exchange fails or HTTP does not define the status, [`StoreError::Refused`] if the status
+/// is not 200.
 async fn post(
     client: Client,
     store: Name,
@@ -280,6 +284,11 @@
         .await
         .map_err(|cause| no_answer(cause.to_string()))?;
     let status = response.status().as_u16();
+    if status > MAX_STATUS {
+        return Err(no_answer(format!(
+            "the answer has the undefined status {status}"
+        )));
+    }
     if status != 200 {
         return Err(StoreError::Refused { store, status });
     }
