agent: a body must be the one that the head of its answer states

Cause: jyagent only looked whether the head has one of two headers, and took what the HTTP client had read for the body.

Evidence: on the code before, send_two_lengths_have_unknown_outcome failed for three of four heads and send_body_unlike_head_has_unknown_outcome for all four.

Change: the head must state a length or chunks, not both, and a length must be that of the body; where the status or the method allows no body there must be none. A body that the client reads otherwise than the head states then never counts.

Result: both tests pass.

--- a/crates/agent/src/send.rs
+++ b/crates/agent/src/send.rs
@@ -12,6 +12,7 @@
 use awc::Client;
 use awc::Connector;
 use awc::error::SendRequestError;
+use bytes::Bytes;
 use jy_kernel::clock;
 use jy_types::name::Name;
 use jy_types::request::REQUEST_ID_HEADER;
@@ -49,6 +50,19 @@
     Unknown(Name),
 }
 
+/// How the head of an answer delimits its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StatedBody {
+    /// By its length in bytes.
+    Length(usize),
+    /// By chunks.
+    Chunks,
+    /// Not at all.
+    Nothing,
+    /// In two ways, or in one that HTTP does not define.
+    Ambiguous,
+}
+
 /// Creates a client with at most `connections` connections to each address.
 #[must_use]
 pub fn client(connections: usize) -> Client {
@@ -99,13 +113,22 @@
     if !FINAL_STATUSES.contains(&status) {
         return SendOutcome::Unknown(format!("the answer has the status {status}").into());
     }
-    if !has_known_length(response.status(), &headers, &exchange.method) {
-        return SendOutcome::Unknown("the answer states no length".into());
+    let has_body = may_have_body(response.status(), &exchange.method);
+    let stated = stated_body(&headers);
+    if has_body && !matches!(stated, StatedBody::Length(_) | StatedBody::Chunks) {
+        return SendOutcome::Unknown(format!("the answer has no single length: {stated:?}").into());
     }
     let body = match response.body().limit(MAX_ANSWER_BYTES).await {
         Ok(body) => body,
         Err(error) => return SendOutcome::Unknown(error.to_string().into()),
     };
+    if !is_stated_body(&body, has_body, stated) {
+        let text = format!(
+            "the answer's head states {stated:?}, not {} bytes",
+            body.len()
+        );
+        return SendOutcome::Unknown(text.into());
+    }
     let echoed_id = header(&headers, REQUEST_ID_HEADER);
     if echoed_id.is_some_and(|echoed_id| echoed_id != &*exchange.request_id) {
         return SendOutcome::Unknown("the answer carries another request's id".into());
@@ -116,14 +139,37 @@
     }
 }
 
-/// Whether an answer declares where its body ends, or has no body.
-fn has_known_length(status: StatusCode, headers: &HeaderMap, method: &Method) -> bool {
-    let has_no_body = method == Method::HEAD
-        || status == StatusCode::NO_CONTENT
-        || status == StatusCode::NOT_MODIFIED;
-    has_no_body
-        || header(headers, "content-length").is_some()
-        || header(headers, "transfer-encoding").is_some()
+/// Whether an answer with this status, to a request with this method, may have a body.
+fn may_have_body(status: StatusCode, method: &Method) -> bool {
+    method != Method::HEAD && status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED
+}
+
+/// Reads how the head of an answer delimits its body.
+fn stated_body(headers: &HeaderMap) -> StatedBody {
+    let length = header(headers, "content-length");
+    let encoding = header(headers, "transfer-encoding");
+    match (length, encoding) {
+        (Some(length), None) => length
+            .trim()
+            .parse()
+            .map_or(StatedBody::Ambiguous, StatedBody::Length),
+        (None, Some(encoding)) if encoding.trim().eq_ignore_ascii_case("chunked") => {
+            StatedBody::Chunks
+        }
+        (None, None) => StatedBody::Nothing,
+        _ => StatedBody::Ambiguous,
+    }
+}
+
+/// Whether a body that the HTTP client has read is the one that the head states. The client reads none beside an `Upgrade`
+/// header, and one where the status has none.
+const fn is_stated_body(body: &Bytes, has_body: bool, stated: StatedBody) -> bool {
+    match stated {
+        _ if !has_body => body.is_empty(),
+        StatedBody::Length(length) => body.len() == length,
+        StatedBody::Chunks => true,
+        StatedBody::Nothing | StatedBody::Ambiguous => false,
+    }
 }
 
 /// Returns the outcome of a failed request, by whether any of it may have been sent.
--- a/crates/agent/tests/test_malformed_answers.rs
+++ b/crates/agent/tests/test_malformed_answers.rs
@@ -72,3 +72,28 @@
         ));
     }
 }
+
+#[gtest]
+fn send_two_lengths_have_unknown_outcome() {
+    for framing in [
+        "content-length: 4\r\ncontent-length: 4\r\n\r\nfour",
+        "content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+        "transfer-encoding: chunked\r\ncontent-length: 2\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+        "content-length: 4\r\ntransfer-encoding: identity\r\n\r\nfour",
+    ] {
+        expect_unknown(&format!("HTTP/1.1 200 OK\r\n{framing}"));
+    }
+}
+
+/// Guards against a body that the HTTP client does not read, or reads although there is none.
+#[gtest]
+fn send_body_unlike_head_has_unknown_outcome() {
+    for response in [
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nfour",
+        "HTTP/1.1 200 OK\r\nupgrade: websocket\r\ncontent-length: 4\r\n\r\nfour",
+        "HTTP/1.1 204 No Content\r\ncontent-length: 4\r\n\r\nfour",
+        "HTTP/1.1 304 Not Modified\r\ntransfer-encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+    ] {
+        expect_unknown(response);
+    }
+}
