agent: check the syntax of heads as jyedge does

What callers saw: nothing in a run of whole agents, which was not made; the test is of the function that sends. jyagent took for answers those with a blank or a tab before the colon of a field, and with a line feed at the start of its name, which ends the head.

Cause: its HTTP client uses the same parser as jy-http, with the same tolerant settings, and keeps nothing of the text of the head.

--- a/crates/agent/tests/test_malformed_answers.rs
+++ b/crates/agent/tests/test_malformed_answers.rs
@@ -97,3 +97,18 @@
         expect_unknown(response);
     }
 }
+
+#[gtest]
+fn send_malformed_field_name_has_unknown_outcome() {
+    for byte in (0..=0x20_u8).chain([0x7f]).map(char::from) {
+        for line in [
+            format!("{byte}x-note: n"),
+            format!("x-{byte}note: n"),
+            format!("x-note{byte}: n"),
+        ] {
+            expect_unknown(&format!(
+                "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n{line}\r\n\r\nfour"
+            ));
+        }
+    }
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -39,7 +39,6 @@
 use crate::message::codec_config;
 use crate::message::header_text;
 
-mod head_syntax;
 mod response;
 
 use response::ReadOutcome;
--- a/crates/http/src/client/response.rs
+++ b/crates/http/src/client/response.rs
@@ -17,7 +17,7 @@
 
 use super::MAX_RESPONSE_BYTES;
 use super::ResponseCheck;
-use super::head_syntax::check_head;
+use crate::head_syntax::check_head;
 use crate::memory_budget::MemoryBudget;
 use crate::memory_budget::MemoryKind;
 use crate::memory_budget::MemoryShare;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,6 +5,7 @@
 //! request it belongs to, and when a caller has disconnected.
 
 pub mod client;
+pub mod head_syntax;
 pub mod memory_budget;
 pub mod message;
 pub mod pool;
