agent: end a request at its deadline whatever arrives

What callers saw: nothing in a run of whole agents, which was not made; the test is of the function that sends. A request to a server that sends a chunk's extension, or trailers, without an end did not end, and its loop kept the agent's only thread busy.

Cause: the HTTP client drops such bytes as they arrive, in a loop that is interrupted only when the task's budget is used up. Its timer is then refused as well, so that it never fires.

Change: a timer of the runtime around the whole exchange, which is also asked when the budget is used up.

--- a/crates/agent/src/send.rs
+++ b/crates/agent/src/send.rs
@@ -17,6 +17,7 @@
 use jy_types::name::Name;
 use jy_types::request::REQUEST_ID_HEADER;
 use jy_types::time::Millis;
+use tokio::time::timeout;
 
 use crate::exchange::CompleteAnswer;
 use crate::exchange::RequestExchange;
@@ -90,6 +91,20 @@
     if left_ms == 0 {
         return SendOutcome::NotSent("no time is left".into());
     }
+    let sending = send_and_read(client, address, exchange, extra_headers, left_ms);
+    // The client's own timer is not asked while the connection has bytes that the client drops.
+    let result = timeout(Duration::from_millis(left_ms), sending).await;
+    result.unwrap_or_else(|_| SendOutcome::Unknown("no complete answer in time".into()))
+}
+
+/// Sends a request with additional headers and reads the answer, whose head must arrive within `left_ms` milliseconds.
+async fn send_and_read(
+    client: &Client,
+    address: SocketAddr,
+    exchange: &RequestExchange,
+    extra_headers: &[(&'static str, String)],
+    left_ms: u64,
+) -> SendOutcome {
     let mut request = client
         .request(
             exchange.method.clone(),
--- a/crates/agent/tests/test_malformed_answers.rs
+++ b/crates/agent/tests/test_malformed_answers.rs
@@ -18,12 +18,28 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 
+/// Time limit of requests, in milliseconds: far longer than any of them takes.
+const TIMEOUT_MS: u64 = 60_000;
+/// Time limit of a request that gets bytes without an end, and the time after which it has ended, in milliseconds.
+const SHORT_TIMEOUT_MS: u64 = 500;
+const ENDED_MS: u64 = 1_500;
+
 /// Sends a request to a server that writes `text` and closes the connection.
 ///
 /// # Errors
 ///
 /// Returns an error if the server's address can't be bound.
 fn send_to(text: &str) -> io::Result<SendOutcome> {
+    send_to_endless(text, "", TIMEOUT_MS)
+}
+
+/// Sends a request with a time limit to a server that writes `text`, and then `part` again and again until the connection is
+/// closed; it closes the connection itself if `part` is empty.
+///
+/// # Errors
+///
+/// Returns an error if the server's address can't be bound.
+fn send_to_endless(text: &str, part: &'static str, timeout_ms: u64) -> io::Result<SendOutcome> {
     let text = text.to_owned();
     actix_rt::System::new().block_on(async move {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
@@ -33,6 +49,10 @@
             let mut head = [0; 1_024];
             let count = stream.read(&mut head).await?;
             stream.write_all(text.as_bytes()).await?;
+            let block = part.repeat(8 * 1_024);
+            while !block.is_empty() {
+                stream.write_all(block.as_bytes()).await?;
+            }
             io::Result::Ok(count)
         });
         let exchange = RequestExchange {
@@ -48,7 +68,7 @@
             timeout_ms: None,
             received: WallMillis(0),
         };
-        let deadline = clock::now().plus(60_000);
+        let deadline = clock::now().plus(timeout_ms);
         Ok(send::send(&send::client(1), address, &exchange, &[], deadline).await)
     })
 }
@@ -112,3 +132,23 @@
         }
     }
 }
+
+/// Guards against a request that never ends: bytes that the HTTP client drops arrive faster than it reads them, so that its
+/// own timer is never asked.
+#[gtest]
+fn send_endless_framing_ends_at_deadline() {
+    let chunks = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    for (start, part) in [
+        ("1;", "extension"),
+        ("1", "        "),
+        ("0\r\n", "x: t\r\n"),
+    ] {
+        let sent_at = clock::now();
+        let text = format!("{chunks}{start}");
+        let outcome =
+            send_to_endless(&text, part, SHORT_TIMEOUT_MS).expect("the server is started");
+        let is_unknown = matches!(outcome, SendOutcome::Unknown(_));
+        expect_that!(is_unknown, eq(true), "{start:?}: {outcome:?}");
+        expect_that!(clock::now().since(sent_at), le(ENDED_MS), "{start:?}");
+    }
+}
