agent: limit the memory of all answers together

What callers saw: nothing in a run of whole agents, which was not made; the test is of the function that sends. Endless bodies, many at once, take jyagent over the memory of its instance.

Cause: one answer was limited to 16 MiB, their sum was not, and there are up to 100 connections to the backend server.

Change: the answers that a client reads share a budget of 64 MiB (MemoryBudget of jy-http). An answer takes what it may need at once and waits while there is none, as in jyedge, so that no two wait for each other.

--- a/crates/agent/src/exchange.rs
+++ b/crates/agent/src/exchange.rs
@@ -9,6 +9,7 @@
 use actix_http::header::HeaderName;
 use actix_http::header::HeaderValue;
 use bytes::Bytes;
+use jy_http::memory_budget::MemoryShare;
 use jy_types::name::Name;
 use jy_types::peer::StoredAnswer;
 use jy_types::request::IDEMPOTENCY_HEADER;
@@ -209,6 +210,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Memory that the body uses, if it was read from a connection.
+    memory: Option<MemoryShare>,
 }
 
 impl CompleteAnswer {
@@ -219,9 +222,17 @@
             status,
             headers: forwarded_headers(headers),
             body,
+            memory: None,
         }
     }
 
+    /// Sets the memory that the body uses.
+    #[must_use]
+    pub fn with_memory(mut self, memory: MemoryShare) -> Self {
+        self.memory = Some(memory);
+        self
+    }
+
     /// Creates an answer from a stored one.
     #[must_use]
     pub fn from_stored(stored: &StoredAnswer) -> Self {
@@ -234,6 +245,7 @@
             status: StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK),
             headers,
             body: Bytes::copy_from_slice(stored.body.as_bytes()),
+            memory: None,
         }
     }
 
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -11,7 +11,6 @@
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
-use awc::Client;
 use jy_feed::view::FleetView;
 use jy_feed::view::ServiceKey;
 use jy_gate::api::Arrival;
@@ -53,6 +52,7 @@
 use crate::lookup::find_service;
 use crate::lookup::request_properties;
 use crate::send;
+use crate::send::AnswerClient;
 use crate::send::SendOutcome;
 use crate::timer::TickerWake;
 use crate::tracing::TraceWriters;
@@ -86,7 +86,7 @@
     backend: Cell<Option<SocketAddr>>,
     service: RefCell<Option<ServiceKey>>,
     view: RefCell<Arc<FleetView>>,
-    client: Client,
+    client: AnswerClient,
     next_ticket: Cell<u64>,
     lease_until: Cell<Millis>,
     loads: LoadMeter,
--- a/crates/agent/src/gateway.rs
+++ b/crates/agent/src/gateway.rs
@@ -9,7 +9,6 @@
 use std::sync::Arc;
 
 use actix_rt::task::JoinHandle;
-use awc::Client;
 use jy_feed::view::FleetView;
 use jy_feed::view::ServiceKey;
 use jy_kernel::clock;
@@ -45,6 +44,7 @@
 use crate::lookup::request_properties;
 use crate::metrics::AgentMetrics;
 use crate::send;
+use crate::send::AnswerClient;
 use crate::send::SendOutcome;
 use crate::timer::TickerWake;
 use crate::unavailability::UnavailabilityMeter;
@@ -82,7 +82,7 @@
     gate: Rc<GateService>,
     metrics: Rc<AgentMetrics>,
     unavailability: RefCell<UnavailabilityMeter>,
-    client: Client,
+    client: AnswerClient,
     pull: RefCell<Option<PullFn>>,
     next_ticket: Cell<u64>,
     wake: TickerWake,
--- a/crates/agent/src/send.rs
+++ b/crates/agent/src/send.rs
@@ -2,17 +2,27 @@
 
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::Method;
 use actix_http::StatusCode;
+use actix_http::error::PayloadError;
 use actix_http::header::HeaderMap;
 use actix_http::header::HeaderName;
 use actix_http::header::HeaderValue;
 use awc::Client;
+use awc::ClientResponse;
 use awc::Connector;
 use awc::error::SendRequestError;
 use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::Stream;
+use futures_util::StreamExt;
+use jy_http::memory_budget::MemoryBudget;
+use jy_http::memory_budget::MemoryKind;
+use jy_http::memory_budget::MemoryShare;
+use jy_http::memory_budget::SMALL_RESPONSE_BYTES;
 use jy_kernel::clock;
 use jy_types::name::Name;
 use jy_types::request::REQUEST_ID_HEADER;
@@ -32,6 +42,9 @@
 
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
+/// Memory for all answers of a client together, in bytes. Reading waits while it is used up.
+const ANSWERS_BYTES: usize = 4 * MAX_ANSWER_BYTES;
+
 /// Statuses of answers that HTTP defines, without informational ones, which no request asks for.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
@@ -64,24 +77,35 @@
     Ambiguous,
 }
 
+/// Connections to other processes, and the memory for the answers that are read from them.
+#[derive(Clone)]
+pub struct AnswerClient {
+    client: Client,
+    memory: Rc<MemoryBudget>,
+}
+
 /// Creates a client with at most `connections` connections to each address.
 #[must_use]
-pub fn client(connections: usize) -> Client {
+pub fn client(connections: usize) -> AnswerClient {
     let connector = Connector::new()
         .connector(strict_eof::connector())
         .limit(connections)
         .timeout(Duration::from_millis(CONNECT_TIMEOUT_MS))
         .conn_keep_alive(Duration::from_millis(IDLE_TIMEOUT_MS));
-    Client::builder()
+    let client = Client::builder()
         .connector(connector)
         .disable_redirects()
-        .finish()
+        .finish();
+    AnswerClient {
+        client,
+        memory: Rc::new(MemoryBudget::new(ANSWERS_BYTES)),
+    }
 }
 
 /// Sends a request with additional headers and waits for the answer until the deadline. A connection whose
 /// answer was late or invalid is closed and not reused.
 pub async fn send(
-    client: &Client,
+    client: &AnswerClient,
     address: SocketAddr,
     exchange: &RequestExchange,
     extra_headers: &[(&'static str, String)],
@@ -99,13 +123,14 @@
 
 /// Sends a request with additional headers and reads the answer, whose head must arrive within `left_ms` milliseconds.
 async fn send_and_read(
-    client: &Client,
+    client: &AnswerClient,
     address: SocketAddr,
     exchange: &RequestExchange,
     extra_headers: &[(&'static str, String)],
     left_ms: u64,
 ) -> SendOutcome {
     let mut request = client
+        .client
         .request(
             exchange.method.clone(),
             format!("http://{address}{}", exchange.path),
@@ -133,9 +158,9 @@
     if has_body && !matches!(stated, StatedBody::Length(_) | StatedBody::Chunks) {
         return SendOutcome::Unknown(format!("the answer has no single length: {stated:?}").into());
     }
-    let body = match response.body().limit(MAX_ANSWER_BYTES).await {
-        Ok(body) => body,
-        Err(error) => return SendOutcome::Unknown(error.to_string().into()),
+    let (body, memory) = match read_body(&mut response, &client.memory, stated).await {
+        Ok(read) => read,
+        Err(cause) => return SendOutcome::Unknown(cause),
     };
     if !is_stated_body(&body, has_body, stated) {
         let text = format!(
@@ -149,11 +174,61 @@
         return SendOutcome::Unknown("the answer carries another request's id".into());
     }
     SendOutcome::Answered {
-        answer: CompleteAnswer::new(response.status(), &headers, body),
+        answer: CompleteAnswer::new(response.status(), &headers, body).with_memory(memory),
         headers,
     }
 }
 
+/// Reads the body of an answer. Nothing is read while there is no memory for it.
+///
+/// # Errors
+///
+/// A description if the body is too long or reading fails.
+async fn read_body(
+    response: &mut ClientResponse<impl Stream<Item = Result<Bytes, PayloadError>> + Unpin>,
+    memory: &Rc<MemoryBudget>,
+    stated: StatedBody,
+) -> Result<(Bytes, MemoryShare), Name> {
+    let too_long = || format!("the answer is longer than {MAX_ANSWER_BYTES} bytes");
+    let mut share = memory.share(MemoryKind::Response);
+    let mut body = BytesMut::new();
+    if let StatedBody::Length(length) = stated {
+        if length > MAX_ANSWER_BYTES {
+            return Err(too_long().into());
+        }
+        reserve(&mut share, length, length).await;
+        body.reserve(length);
+    }
+    while let Some(chunk) = response.next().await {
+        let chunk = chunk.map_err(|error| Name::from(error.to_string()))?;
+        let length = body.len() + chunk.len();
+        if length > MAX_ANSWER_BYTES {
+            return Err(too_long().into());
+        }
+        reserve(&mut share, length, MAX_ANSWER_BYTES).await;
+        if length > body.capacity() {
+            let capacity = (body.capacity() * 2).clamp(length, MAX_ANSWER_BYTES);
+            body.reserve(capacity - body.len());
+        }
+        body.extend_from_slice(&chunk);
+    }
+    share.set_to(body.len());
+    Ok((body.freeze(), share))
+}
+
+/// Takes memory for a body that has `length` bytes and may reach `max_length`. It takes that at once, so that it never waits
+/// a second time; small bodies don't wait.
+async fn reserve(share: &mut MemoryShare, length: usize, max_length: usize) {
+    if share.bytes() >= length {
+        return;
+    }
+    if length <= SMALL_RESPONSE_BYTES {
+        share.set_to(length);
+    } else {
+        share.wait_for(max_length).await;
+    }
+}
+
 /// Whether an answer with this status, to a request with this method, may have a body.
 fn may_have_body(status: StatusCode, method: &Method) -> bool {
     method != Method::HEAD && status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED
