edge: test the death of an agent that has passed a request on

Cause: what a caller gets when another agent breaks off was tested at the functions that send.

Change: a test with agents as processes, of which the one beside the backend server is killed while that works.

Result: the caller gets 502 and the request has run once. Not run on the code before this work.

--- a/crates/edge/tests/test_agent_process/stops.rs
+++ b/crates/edge/tests/test_agent_process/stops.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::future::join_all;
 use googletest::prelude::*;
 use jy_kernel::clock;
@@ -225,3 +226,25 @@
 fn stop_late_requests_of_agents_are_not_cut() {
     expect_stop_without_cuts(1, |agent| agent.gate, forwarded_head);
 }
+
+/// Guards against a request that another agent reports as not run, or as answered, when the agent that has passed it to
+/// the backend server is killed.
+#[gtest]
+fn kill_agent_of_running_request_is_a_failure() {
+    actix_rt::System::new().block_on(async {
+        let serve: ServeFn = Rc::new(|stream, head| Box::pin(serve_after(stream, head)));
+        let fleet = AgentFleet::start(serve).await;
+        let [gateway, killed] = &fleet.agents;
+        let kill = async {
+            while fleet.requests.borrow().is_empty() {
+                sleep(Duration::from_millis(10)).await;
+            }
+            killed.signal(Signal::KILL);
+        };
+        let body = Bytes::from(vec![b'x'; 1024 * 1024]);
+        let (result, ()) = tokio::join!(fleet.send(gateway, "/once/work-1000", body), kill);
+        let status = result.map(|response| response.status.as_u16());
+        expect_that!(status, ok(eq(&502)));
+        expect_that!(fleet.requests.borrow().len(), eq(1));
+    });
+}
