http: an orderly end while the request is written completes nothing

In the exchange a part of a 200 without a length counted as complete when the server closed the connection just when it had read all that had arrived of the upload.

Cause: such a close ends the connection in order, and resets it only when more of the request arrives. The client took the end for that of the body and stopped writing.

Evidence: on the code before, exchange_orderly_close_of_response_until_close_is_noticed failed in all 72 exchanges whose head was complete: 8 MiB at once and at a limited rate, 64 KiB at a limited rate. Lengths and chunks passed.

Change: the check for a failed write moves behind the response. If the body ended with the connection and the request is not yet written, the client writes the rest first. A closed server resets the connection then, so that the write fails; one that has only ended its side reads on.

Result: all ten tests of test_cut_uploads pass, five times in a row.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,7 +1,6 @@
 //! A client connection, which carries one request at a time and reports whether a failed one may have run.
 
 use std::cell::Cell;
-use std::cell::OnceCell;
 use std::collections::BTreeSet;
 use std::hash::DefaultHasher;
 use std::hash::Hash;
@@ -239,7 +238,6 @@
         self.carried_ids
             .extend(check.map(|check| id_hash(check.id)));
         let written = Cell::new(0_usize);
-        let write_failure = OnceCell::new();
         let is_cut = Cell::new(false);
         let codec = std::mem::replace(&mut self.codec, ClientCodec::new(codec_config()));
         let outcome = {
@@ -250,7 +248,6 @@
                 buffer: &mut self.buffer,
                 memory: self.memory.as_ref(),
                 kind: self.response_kind,
-                write_failure: &write_failure,
                 received_bytes: 0,
                 is_cut: &is_cut,
             };
@@ -259,8 +256,9 @@
             let write_future =
                 write_counted(&mut writer, [&head, &body], &written, max_bytes_per_ms);
             tokio::pin!(write_future);
-            loop {
-                let is_writing = written.get() < total_bytes && write_failure.get().is_none();
+            let mut write_failure: Option<Name> = None;
+            let outcome = loop {
+                let is_writing = written.get() < total_bytes && write_failure.is_none();
                 tokio::select! {
                     biased;
                     result = &mut write_future, if is_writing => {
@@ -269,11 +267,22 @@
                             if written.get() == 0 {
                                 return Err(ExchangeError::NotSent { to, cause });
                             }
-                            write_failure.get_or_init(|| cause);
+                            write_failure = Some(cause);
                         }
                     }
                     outcome = &mut response_future => break outcome,
                 }
+            };
+            match outcome {
+                Ok(read) if read.is_close_delimited => {
+                    // A reset after an orderly end shows only when the rest of the request is written.
+                    if written.get() < total_bytes && write_failure.is_none() {
+                        let result = write_future.await;
+                        write_failure = result.err().map(|error| error.to_string().into());
+                    }
+                    complete_at_end(read, write_failure)
+                }
+                outcome => outcome,
             }
         };
         let is_fully_sent = written.get() == total_bytes;
@@ -281,6 +290,7 @@
             response,
             codec,
             is_clean,
+            ..
         } = outcome.map_err(|cause| ExchangeError::OutcomeUnknown {
             to,
             cause,
@@ -343,6 +353,26 @@
     }
 }
 
+/// Returns a response whose body was delimited by the end of the connection, if the write of its request has not failed.
+///
+/// A connection that was reset may look as if it had ended in order: the socket reports the error only once, to the write,
+/// and the server may have ended its side before the rest of the request reached it. The end of the body may then be missing.
+///
+/// # Errors
+///
+/// A description if the write has failed.
+fn complete_at_end(
+    read: ReadOutcome,
+    write_failure: Option<Name>,
+) -> std::result::Result<ReadOutcome, Name> {
+    match write_failure {
+        Some(error) => {
+            Err(format!("the connection ended while the request was sent: {error}").into())
+        }
+        None => Ok(read),
+    }
+}
+
 /// Returns the hash of a request's id.
 fn id_hash(id: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/http/src/client/response.rs
+++ b/crates/http/src/client/response.rs
@@ -1,7 +1,6 @@
 //! Reads the response that belongs to a request.
 
 use std::cell::Cell;
-use std::cell::OnceCell;
 use std::rc::Rc;
 
 use actix_http::ResponseHead;
@@ -51,6 +50,8 @@
     pub(super) codec: ClientCodec,
     /// Whether the connection may carry another request.
     pub(super) is_clean: bool,
+    /// Whether the body was delimited by the end of the connection.
+    pub(super) is_close_delimited: bool,
 }
 
 /// Where responses are read from.
@@ -62,8 +63,6 @@
     pub(super) memory: Option<&'a Rc<MemoryBudget>>,
     /// As what responses are counted.
     pub(super) kind: MemoryKind,
-    /// Error of the write of the request, if it has failed.
-    pub(super) write_failure: &'a OnceCell<Name>,
     /// Number of bytes that were received.
     pub(super) received_bytes: usize,
     /// Set if the server ends the connection.
@@ -200,6 +199,7 @@
         response,
         codec,
         is_clean: is_keep_alive && !is_close_delimited && !may_be_followed,
+        is_close_delimited,
     })
 }
 
@@ -351,9 +351,7 @@
 ///
 /// # Errors
 ///
-/// A description if reading fails, for example on a reset: the end of the body may then be missing. The same if the
-/// write of the request has failed: the socket reports an error only once, and the next read sees the end of the
-/// connection instead.
+/// A description if reading fails, for example on a reset: the end of the body may then be missing.
 async fn read_until_close(
     source: &mut ResponseSource<'_, '_>,
 ) -> Result<(Bytes, Option<MemoryShare>)> {
@@ -364,10 +362,6 @@
             check_length(source.buffer.len())?;
             continue;
         }
-        if let Some(error) = source.write_failure.get() {
-            let text = format!("the connection ended while the request was sent: {error}");
-            return Err(text.into());
-        }
         let memory = memory.finish(source.buffer.capacity());
         return Ok((source.buffer.split().freeze(), memory));
     }
