platform, edge: keep the platform's protocol in its stand-ins

Cause: the test that plays a backend server wrote the operators' record, the announcement and the signature itself, outside platform/.

Change: they move to the platform's stand-ins; a configuration there has its time limits and largest body as parameters.

--- a/crates/edge/tests/test_agent_process/fleet.rs
+++ b/crates/edge/tests/test_agent_process/fleet.rs
@@ -29,6 +29,12 @@
 use jy_http::pool::ConnectionPool;
 use jy_http::pool::SendOptions;
 use jy_kernel::clock;
+use jy_platform_standins::announce;
+use jy_platform_standins::announce::AnnouncedBackend;
+use jy_platform_standins::announce::keep_announcing;
+use jy_platform_standins::operator;
+use jy_platform_standins::operator::OperatorConfig;
+use jy_platform_standins::operator::OperatorRoute;
 use jy_platform_standins::store::StandinStore;
 use rustix::process::Pid;
 use rustix::process::Signal;
@@ -42,8 +48,6 @@
 
 /// Path of a request that the backend server answers as it should. Requests to all other paths are served by the test.
 pub const GOOD_PATH: &str = "/safe/good";
-/// Signature of the backend server's responses.
-const SEAL: &str = "seal-1";
 /// Id of the backend server.
 const BACKEND_ID: &str = "i-1";
 /// Host of all routes.
@@ -153,7 +157,22 @@
         let store = StandinStore::serve(store_address)
             .await
             .expect("failed to start the store");
-        store.put("op/config", &configuration());
+        let routes = [("safe", true), ("once", false)];
+        let routes = routes.map(|(name, is_idempotent)| OperatorRoute {
+            name,
+            is_idempotent,
+            service: SERVICE,
+        });
+        let config = OperatorConfig {
+            version: 1,
+            host: HOST,
+            routes: &routes,
+            services: &[("front", false), (SERVICE, false)],
+            timeout_ms: ROUTE_TIMEOUT_MS,
+            max_body_bytes: 16 * 1024 * 1024,
+            read_timeout_ms: 5_000,
+        };
+        operator::configure(&store, &config);
         let folder = std::env::temp_dir().join(format!("jyedge-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("failed to create the folder");
         let services = ["front", SERVICE];
@@ -167,7 +186,13 @@
             .await
             .expect("failed to bind the backend server");
         actix_rt::spawn(accept(listener, serve, Rc::clone(&requests)));
-        actix_rt::spawn(announce(backend, SocketAddr::new(ip(1), 7_102)));
+        let announced = AnnouncedBackend {
+            id: BACKEND_ID.into(),
+            service: SERVICE.into(),
+            address: backend,
+        };
+        let agent = SocketAddr::new(ip(1), 7_102);
+        actix_rt::spawn(keep_announcing(announced, agent));
         let fleet = Self {
             agents,
             requests,
@@ -237,42 +262,6 @@
     }
 }
 
-/// Returns a configuration with a route for idempotent requests, `/safe/`, and one for others, `/once/`.
-fn configuration() -> serde_json::Value {
-    let route = |name: &str, kind: &str| {
-        let prefix = format!("/{name}/");
-        json!([
-            name,
-            HOST,
-            prefix,
-            kind,
-            ROUTE_TIMEOUT_MS,
-            1_000,
-            2,
-            2,
-            SERVICE
-        ])
-    };
-    json!({
-        "version": "r1",
-        "routes": {
-            "columns": ["name", "host", "prefix", "kind", "timeout_ms", "target_latency_ms", "priority", "max_attempts",
-                        "service"],
-            "rows": [route("safe", "safe"), route("once", "unsafe")],
-        },
-        "services": {
-            "columns": ["name", "health_path", "max_connections", "cold_start_s", "cold_per_s", "sharded"],
-            "rows": [["front", "/health", 110, 3.0, 1_000.0, false], [SERVICE, "/health", 110, 3.0, 1_000.0, false]],
-        },
-        "limits": {
-            "max_header_bytes": 16_384,
-            "max_body_bytes": 16 * 1024 * 1024,
-            "header_timeout_ms": 5_000,
-            "idle_timeout_ms": 15_000,
-        },
-    })
-}
-
 /// Starts an agent that listens on `ip`.
 ///
 /// # Panics
@@ -324,34 +313,6 @@
     }
 }
 
-/// Announces the backend server at `backend` to the agent beside it, again and again.
-async fn announce(backend: SocketAddr, agent: SocketAddr) {
-    let pool = ConnectionPool::new();
-    let started_at = clock::wall_now().0;
-    for sequence in 1_u64.. {
-        let body = json!({
-            "address": backend.to_string(),
-            "born": started_at,
-            "info": {"service": SERVICE, "version": "v1", "zone": "z", "slots": 64},
-            "status": {"state": "ready", "sequence": sequence, "cold_remaining_ms": 0},
-            "holds": [],
-            "freed": [],
-        });
-        let request = HttpRequest::new(Method::PUT, &format!("/instances/{BACKEND_ID}"))
-            .with_header("host", "agent")
-            .with_body(body.to_string().into());
-        let options = SendOptions {
-            connect_timeout_ms: 1_000,
-            response_timeout_ms: 1_000,
-            max_idle_ms: ANNOUNCE_INTERVAL_MS * 2,
-            max_bytes_per_ms: None,
-        };
-        // The agent may not listen yet, or no longer; the next announcement follows in any case.
-        let _outcome = pool.send(agent, &request, None, options).await;
-        sleep(Duration::from_millis(ANNOUNCE_INTERVAL_MS)).await;
-    }
-}
-
 /// Accepts the connections of the backend server. Answers good requests and status checks itself.
 async fn accept(listener: TcpListener, serve: ServeFn, requests: Rc<RefCell<Vec<String>>>) {
     while let Ok((mut stream, _)) = listener.accept().await {
@@ -397,8 +358,7 @@
 
 /// Returns the headers with which a backend server signs its response to the request with this head.
 pub fn signature(head: &str) -> String {
-    let id = request_id(head);
-    format!("x-request-id: {id}\r\nx-response-seal: {SEAL}\r\nx-instance-id: {BACKEND_ID}\r\n")
+    announce::signature(request_id(head), BACKEND_ID)
 }
 
 /// Returns the response of a backend server without a fault.
