--- a/crates/edge/tests/test_agent_process/fleet.rs
+++ b/crates/edge/tests/test_agent_process/fleet.rs
@@ -34,6 +34,7 @@
 use jy_platform_standins::announce::keep_announcing;
 use jy_platform_standins::operator;
 use jy_platform_standins::operator::OperatorConfig;
+use jy_platform_standins::operator::OperatorLimits;
 use jy_platform_standins::operator::OperatorRoute;
 use jy_platform_standins::store::StandinStore;
 use rustix::process::Pid;
@@ -168,11 +169,13 @@
             host: HOST,
             routes: &routes,
             services: &[("front", false), (SERVICE, false)],
+        };
+        let limits = OperatorLimits {
             timeout_ms: ROUTE_TIMEOUT_MS,
             max_body_bytes: 16 * 1024 * 1024,
             read_timeout_ms: 5_000,
         };
-        operator::configure(&store, &config);
+        operator::configure_with_limits(&store, &config, limits);
         let folder = std::env::temp_dir().join(format!("jyedge-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("failed to create the folder");
         let services = ["front", SERVICE];
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -215,9 +215,6 @@
             host: HOST,
             routes: &routes,
             services: &SERVICES,
-            timeout_ms: 1_000,
-            max_body_bytes: 1_048_576,
-            read_timeout_ms: 3_000,
         };
         operator::configure(&self.store, &config);
     }
