edge: state the service that the backend server announced

What callers saw: after a backend server crashed and its address went to one of another service, requests that began on the instance, and the new server's own calls, ran for up to a second with the former service as their origin, although the agent had acknowledged the new one's announcement.

Cause: the origin came from the settings file alone, which was read once a second; the announcement was used for all else. If the settings named another address too, the announcement was rejected until they were read again.

Change: LocalBackend says which service the backend server has: the one it announced if it was heard of and started after the settings last changed, and otherwise that of the settings, since an older announcement may be a late one. An announcement that differs from the settings has the file read before it is applied, so that its acknowledgement comes after any change that it goes with. The file is read ten times a second, and parsed if its text has changed. Nothing else states the origin.

--- a/crates/edge/src/announcements.rs
+++ b/crates/edge/src/announcements.rs
@@ -30,6 +30,9 @@
 /// milliseconds. The platform takes an answer that comes within a second.
 const MAX_REPLY_DELAY_MS: u64 = 400;
 
+/// Reads the settings file again, in case that it has changed.
+pub type ReloadFn = Rc<dyn Fn()>;
+
 /// Answers announcements.
 pub struct AnnouncementListener {
     /// What the agent knows of the backend server.
@@ -40,6 +43,8 @@
     pub member: Rc<LocalMember>,
     /// The latest snapshot of the fleet's records.
     pub snapshot: Rc<SnapshotSender>,
+    /// Reads the settings file again.
+    pub reload_settings: ReloadFn,
 }
 
 impl AnnouncementListener {
@@ -64,6 +69,10 @@
                 return refusal::rejected(StatusCode::BAD_REQUEST, &error.to_string());
             }
         };
+        if !self.agrees_with_settings(&announced) {
+            // The file may have changed since it was last read, and it names the place of the backend server.
+            (self.reload_settings)();
+        }
         self.read_recorded_leaving(reply_by).await;
         let outcome = self.apply(announced, reply_by).await;
         self.start_measurement();
@@ -73,6 +82,12 @@
         self.encode_outcome(&outcome)
     }
 
+    /// Whether an announcement comes from the backend server that the settings name.
+    fn agrees_with_settings(&self, announced: &Announcement) -> bool {
+        announced.address == self.gate.address.get()
+            && announced.service == self.backend.configured_service()
+    }
+
     /// Applies an announcement and grants keys in reply. One that leaves keys unmarked for their next owners is
     /// replied to once they are marked, until `reply_by` at most.
     async fn apply(&self, announced: Announcement, reply_by: Millis) -> AnnounceOutcome {
--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -71,6 +71,8 @@
 mod reload;
 mod shutdown;
 
+use reload::SettingsReader;
+
 /// Idle timeout of connections on all listeners except the callers', in milliseconds. It is longer than any
 /// gateway keeps an idle connection to another agent, so that no request is sent on a connection that is being
 /// closed.
@@ -90,6 +92,7 @@
 /// Parts of a running agent.
 struct EdgeAgent {
     settings: EdgeSettings,
+    settings_reader: Rc<SettingsReader>,
     snapshot: Rc<SnapshotSender>,
     backend: SharedBackend,
     gate: Rc<LocalGate>,
@@ -118,7 +121,7 @@
 pub async fn run(path: &str, settings: EdgeSettings) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context("could not catch SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("could not catch SIGINT")?;
-    let agent = Rc::new(EdgeAgent::new(settings));
+    let agent = Rc::new(EdgeAgent::new(path.into(), settings));
     let listeners = agent.listen().await?;
     let (starter, mut ended) = TaskStarter::new();
     agent.start(&starter);
@@ -129,7 +132,7 @@
         agent.settings.service,
         agent.settings.store
     );
-    actix_rt::spawn(reload::follow_settings(Rc::clone(&agent), path.into()));
+    actix_rt::spawn(reload::follow_settings(Rc::clone(&agent.settings_reader)));
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -144,7 +147,7 @@
 
 impl EdgeAgent {
     /// Creates all parts without starting them.
-    fn new(settings: EdgeSettings) -> Self {
+    fn new(path: Name, settings: EdgeSettings) -> Self {
         let now = clock::now();
         let era = Rc::new(StoreEra::new());
         let store = StoreClient::new(settings.store).with_on_era(era.recorder());
@@ -161,7 +164,8 @@
                 bounds.longest_grant_ms,
                 bounds.announce_every_ms,
             )
-            .with_drain_ms(bounds.drain_ms),
+            .with_drain_ms(bounds.drain_ms)
+            .with_service(clock::wall_now(), Name::clone(&settings.service)),
         );
         let memory = Rc::new(MemoryBudget::for_process(settings.memory_mb));
         let gate = LocalGate::new(
@@ -178,7 +182,6 @@
         let gateway = Rc::new(CallerGateway::new(GatewayParts {
             node: Name::clone(&settings.name),
             zone: Name::clone(&settings.zone),
-            origin: Name::clone(&settings.service),
             gate: Rc::clone(&gate),
             snapshot: Rc::clone(&snapshot),
             link_bytes_per_ms,
@@ -231,7 +234,14 @@
             snapshot: Rc::clone(&snapshot),
             state: Rc::clone(&feed),
         };
+        let settings_reader = SettingsReader::new(
+            path,
+            settings.clone(),
+            Rc::clone(&backend),
+            Rc::clone(&gate),
+        );
         Self {
+            settings_reader: Rc::new(settings_reader),
             operator: relay(FeedPart::Operator, operator_proof),
             fleet: relay(FeedPart::Fleet, Rc::default()),
             settings,
@@ -361,7 +371,9 @@
         let listen = &self.settings.listen;
         let (agent, peer_agent) = (Rc::clone(self), Rc::clone(self));
         let (ready_agent, metrics_agent) = (Rc::clone(self), Rc::clone(self));
+        let settings_reader = Rc::clone(&self.settings_reader);
         let announcements = Rc::new(AnnouncementListener {
+            reload_settings: Rc::new(move || settings_reader.reload()),
             backend: Rc::clone(&self.backend),
             gate: Rc::clone(&self.gate),
             member: Rc::clone(&self.member),
--- a/crates/edge/src/app/reload.rs
+++ b/crates/edge/src/app/reload.rs
@@ -1,23 +1,94 @@
 //! Applies changes of the settings file to a running agent.
 
+use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use jy_config::edge;
+use jy_config::edge::EdgeSettings;
+use jy_kernel::clock;
 use jy_types::name::Name;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 use tokio::time::sleep;
 
-use super::EdgeAgent;
+use crate::backend::SharedBackend;
+use crate::gate::LocalGate;
 
 /// The settings file is polled because it may change without a signal.
-const SETTINGS_POLL_MS: u64 = 1_000;
+const SETTINGS_POLL_MS: u64 = 100;
 
-/// Applies changes of the settings file: at SIGHUP, and every [`SETTINGS_POLL_MS`] milliseconds.
+/// Reads the settings file and applies its changes.
 ///
 /// Only the service and the address of the backend server change in a running agent.
-pub(super) async fn follow_settings(agent: Rc<EdgeAgent>, path: Name) {
+pub(super) struct SettingsReader {
+    path: Name,
+    /// Text of the file when it was last read.
+    text: RefCell<String>,
+    /// Whether the last attempt to read the file succeeded.
+    is_readable: Cell<bool>,
+    applied: RefCell<EdgeSettings>,
+    backend: SharedBackend,
+    gate: Rc<LocalGate>,
+}
+
+impl SettingsReader {
+    /// Creates a reader of the file at `path`, of which `settings` were read.
+    pub(super) fn new(
+        path: Name,
+        settings: EdgeSettings,
+        backend: SharedBackend,
+        gate: Rc<LocalGate>,
+    ) -> Self {
+        Self {
+            path,
+            text: RefCell::default(),
+            is_readable: Cell::new(true),
+            applied: RefCell::new(settings),
+            backend,
+            gate,
+        }
+    }
+
+    /// Applies the file if it has changed since it was last read.
+    pub(super) fn reload(&self) {
+        let path = &*self.path;
+        let text = match std::fs::read_to_string(path) {
+            Ok(text) => text,
+            Err(error) => {
+                if self.is_readable.replace(false) {
+                    log::warn!("could not read {path}: {error}; keeping the previous settings");
+                }
+                return;
+            }
+        };
+        self.is_readable.set(true);
+        if *self.text.borrow() == text {
+            return;
+        }
+        match edge::parse(path, &text) {
+            Ok(next) => self.apply(next),
+            Err(findings) => log::warn!("{findings}; keeping the previous settings"),
+        }
+        self.text.replace(text);
+    }
+
+    /// Applies settings that the file has now.
+    fn apply(&self, next: EdgeSettings) {
+        if *self.applied.borrow() == next {
+            return;
+        }
+        log::info!("reload service={} backend={}", next.service, next.backend);
+        self.backend
+            .set_service(clock::wall_now(), Name::clone(&next.service));
+        self.gate.set_address(next.backend);
+        self.applied.replace(next);
+    }
+}
+
+/// Applies changes of the settings file: at SIGHUP, and every [`SETTINGS_POLL_MS`] milliseconds.
+pub(super) async fn follow_settings(reader: Rc<SettingsReader>) {
     let mut hangup = match signal(SignalKind::hangup()) {
         Ok(hangup) => hangup,
         Err(error) => {
@@ -27,29 +98,11 @@
             return;
         }
     };
-    let mut current = agent.settings.clone();
     loop {
         tokio::select! {
             _ = hangup.recv() => log::info!("reload requested"),
             () = sleep(Duration::from_millis(SETTINGS_POLL_MS)) => {}
         }
-        let read_result = std::fs::read_to_string(&*path);
-        let text = match read_result {
-            Ok(text) => text,
-            Err(error) => {
-                log::warn!("could not read {path}: {error}; keeping the previous settings");
-                continue;
-            }
-        };
-        match edge::parse(&path, &text) {
-            Ok(next) if next == current => {}
-            Ok(next) => {
-                log::info!("reload service={} backend={}", next.service, next.backend);
-                agent.gateway.set_origin(Name::clone(&next.service));
-                agent.gate.set_address(next.backend);
-                current = next;
-            }
-            Err(findings) => log::warn!("{findings}; keeping the previous settings"),
-        }
+        reader.reload();
     }
 }
--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -28,9 +28,11 @@
 use crate::sent_requests::SentTicket;
 
 mod held;
+mod service;
 mod state;
 
 use held::to_held_range;
+use service::ConfiguredService;
 
 pub use state::BackendState;
 
@@ -66,6 +68,7 @@
 pub struct LocalBackend {
     node: Name,
     state: RefCell<Option<BackendState>>,
+    configured: RefCell<ConfiguredService>,
     agent_started: Millis,
     longest_grant_ms: u64,
     announce_interval_ms: u64,
@@ -98,6 +101,7 @@
         Self {
             node,
             state: RefCell::new(None),
+            configured: RefCell::default(),
             agent_started,
             longest_grant_ms,
             announce_interval_ms,
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -80,7 +80,6 @@
 pub struct CallerGateway {
     node: Name,
     zone: Name,
-    origin: RefCell<Name>,
     gate: Rc<LocalGate>,
     snapshot: Rc<SnapshotSender>,
     endpoints: RefCell<EndpointTable>,
@@ -106,8 +105,6 @@
     pub node: Name,
     /// Availability zone of the instance.
     pub zone: Name,
-    /// Service of the backend server beside the agent.
-    pub origin: Name,
     /// The agent's gate.
     pub gate: Rc<LocalGate>,
     /// The latest snapshot of the fleet's records.
@@ -171,7 +168,6 @@
         Self {
             node: parts.node,
             zone: parts.zone,
-            origin: RefCell::new(parts.origin),
             gate: parts.gate,
             snapshot: parts.snapshot,
             endpoints: RefCell::new(EndpointTable::new()),
@@ -190,11 +186,6 @@
         }
     }
 
-    /// Changes the service of the backend server beside the agent.
-    pub fn set_origin(&self, origin: Name) {
-        self.origin.replace(origin);
-    }
-
     /// Answers all unfinished requests at once, and all later ones.
     pub fn end(&self) {
         self.is_ending.send_replace(true);
@@ -305,12 +296,14 @@
                 deadline,
             ));
         };
+        let is_known = |service: &str| routes.services.contains_key(service);
+        let origin = self.gate.backend.service(is_known);
         let job = GateJob {
             request,
             id,
             route: Name::clone(&rule.name),
             service,
-            origin: Name::clone(&self.origin.borrow()),
+            origin,
             key: caller_headers.key,
             is_call,
             tenant: tenant.map(|tenant| Name::clone(&tenant.name)),
--- a/crates/edge/tests/test_agent_process/fleet.rs
+++ b/crates/edge/tests/test_agent_process/fleet.rs
@@ -40,6 +40,7 @@
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
+use serde_json::Value;
 use serde_json::json;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -53,7 +54,7 @@
 const BACKEND_ID: &str = "i-1";
 /// Host of all routes.
 pub const HOST: &str = "h.example";
-/// Service of the second agent's backend server.
+/// Service of the second agent's backend server; that of the first one's is `front` at the start.
 const SERVICE: &str = "s";
 const ANNOUNCE_INTERVAL_MS: u64 = 200;
 /// Time limit of all routes, in milliseconds.
@@ -79,6 +80,11 @@
     pub caller: SocketAddr,
     /// Address for other agents.
     pub gate: SocketAddr,
+    /// Address for the announcements of the backend server.
+    pub announce: SocketAddr,
+    /// Address of the backend server.
+    pub backend: SocketAddr,
+    settings_path: PathBuf,
     process: RefCell<Child>,
     log_path: PathBuf,
 }
@@ -119,6 +125,22 @@
         number.expect("the process has ended")
     }
 
+    /// Writes another service and address of the backend server into the settings file.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the file can't be read or written.
+    pub fn set_backend(&self, service: &str, address: SocketAddr) {
+        let text =
+            std::fs::read_to_string(&self.settings_path).expect("failed to read the settings");
+        let mut settings: Value = serde_json::from_str(&text).expect("the settings are JSON");
+        settings["service"] = service.into();
+        settings["backend"] = address.to_string().into();
+        let next_path = self.settings_path.with_extension("next");
+        std::fs::write(&next_path, settings.to_string()).expect("failed to write the settings");
+        std::fs::rename(&next_path, &self.settings_path).expect("failed to replace the settings");
+    }
+
     /// Returns the log.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log_path).unwrap_or_default()
@@ -168,7 +190,7 @@
             version: 1,
             host: HOST,
             routes: &routes,
-            services: &[("front", false), (SERVICE, false)],
+            services: &[("front", false), ("back", false), (SERVICE, false)],
         };
         let limits = OperatorLimits {
             timeout_ms: ROUTE_TIMEOUT_MS,
@@ -311,6 +333,9 @@
     AgentProcess {
         caller: address(7_100),
         gate: address(7_103),
+        announce: address(7_102),
+        backend: address(7_200),
+        settings_path,
         process: RefCell::new(process),
         log_path,
     }
--- a/crates/edge/tests/test_agent_process/main.rs
+++ b/crates/edge/tests/test_agent_process/main.rs
@@ -2,4 +2,5 @@
 
 mod broken_responses;
 mod fleet;
+mod services;
 mod stops;
--- a/crates/edge/tests/test_announcements.rs
+++ b/crates/edge/tests/test_announcements.rs
@@ -112,6 +112,7 @@
         gate: Rc::new(gate),
         member: Rc::new(member),
         snapshot,
+        reload_settings: Rc::new(|| ()),
     }
 }
 
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -216,7 +216,6 @@
     Rc::new(CallerGateway::new(GatewayParts {
         node: "own".into(),
         zone: "z".into(),
-        origin: "s".into(),
         gate: Rc::new(gate.with_memory(memory)),
         snapshot,
         link_bytes_per_ms: LINK_BYTES_PER_MS,
--- a/crates/edge/tests/test_keys.rs
+++ b/crates/edge/tests/test_keys.rs
@@ -241,7 +241,6 @@
     let gateway = Rc::new(CallerGateway::new(GatewayParts {
         node: "own".into(),
         zone: "z".into(),
-        origin: "s".into(),
         gate: new_gate(unused_address, own_backend, &snapshot),
         snapshot: Rc::clone(&snapshot),
         link_bytes_per_ms: LINK_BYTES_PER_MS,
