edge: keep the end of a backend server that the agent has not heard of

What callers saw: their orders, which may run once at most, at a backend server that had left up to 8 s before. Its agent had been killed and started again, acknowledged the end, and got an earlier announcement of it 5 s late.

Cause: the report of an end states an id alone. An agent that did not know the id acknowledged it and kept nothing; so did one that knew another backend server. On the same path, a leaving was acknowledged after 0.4 s also without a record in the store, so that the next run knew nothing of it, and the record held one leaving only.

On the code before, leaving_late_announcement_does_not_bring_back (agents as processes) failed in 6 of 16 cases: all with the end of an id that this run of the agent did not know, whatever else it knew and whether or not it was killed again. answer_leaving_without_record_is_not_acknowledged got 200 in its three cases.

Change: such an end is kept with the time of the report and ends all starts of the id before it; announcements of those are applied as of one that has left. The record has the last eight leavings of the instance, readable for earlier versions and from them. What is not in the store in time is applied but not acknowledged. with_era_keeps_leaving now asks that no leaving is lost where it asked for the one that started last.

--- a/crates/edge/src/announcements.rs
+++ b/crates/edge/src/announcements.rs
@@ -13,6 +13,7 @@
 use jy_kernel::clock;
 use jy_platform::announce;
 use jy_types::endpoint::Announcement;
+use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::GrantReply;
 use jy_types::name::Name;
 use jy_types::time::Millis;
@@ -58,9 +59,14 @@
             }
         };
         if request.method == Method::DELETE {
-            self.backend.mark_ended(clock::now(), &id);
-            self.wait_until_leaving_is_recorded(reply_by).await;
-            return HttpResponse::new(StatusCode::OK, "{}");
+            let ended = self
+                .backend
+                .mark_ended(clock::now(), clock::wall_now(), &id);
+            return if self.is_leaving_recorded(&ended, reply_by).await {
+                HttpResponse::new(StatusCode::OK, "{}")
+            } else {
+                not_recorded()
+            };
         }
         let announced = match announce::decode(id, &request.body) {
             Ok(announced) => announced,
@@ -74,10 +80,13 @@
             (self.reload_settings)();
         }
         self.read_recorded_leaving(reply_by).await;
+        let incarnation = announced.incarnation.clone();
         let outcome = self.apply(announced, reply_by).await;
         self.start_measurement();
-        if matches!(outcome, AnnounceOutcome::Accepted(_)) {
-            self.wait_until_leaving_is_recorded(reply_by).await;
+        let leaving = self.backend.leaving();
+        let is_leaving = leaving.is_some_and(|leaving| leaving.contains(&incarnation));
+        if is_leaving && !self.is_leaving_recorded(&incarnation, reply_by).await {
+            return not_recorded();
         }
         self.encode_outcome(&outcome)
     }
@@ -175,28 +184,31 @@
         }
         let snapshot = self.snapshot.borrow();
         let recorded = snapshot.leaving.get(self.backend.node());
-        self.backend
-            .set_recorded_leaving(clock::now(), recorded.map(|recorded| &recorded.incarnation));
+        self.backend.set_recorded_leaving(
+            clock::now(),
+            recorded.map(|recorded| &recorded.incarnations),
+        );
     }
 
-    /// Waits until the store says that the backend server leaves, if it does, so that the acknowledgement outlives
-    /// this run of the agent. Waits until `reply_by` at most: the store may be out of reach.
-    async fn wait_until_leaving_is_recorded(&self, reply_by: Millis) {
-        let Some(leaving) = self.backend.leaving() else {
-            return;
-        };
+    /// Waits until the store says that an incarnation of the backend server leaves, so that the acknowledgement outlives
+    /// this run of the agent. Returns false if it does not until `reply_by`: the store may be out of reach.
+    async fn is_leaving_recorded(&self, leaving: &BackendIncarnation, reply_by: Millis) -> bool {
         let mut updates = self.snapshot.subscribe();
         let node = self.backend.node();
         let recorded = updates.wait_for(|snapshot| {
             let recorded = snapshot.leaving.get(node);
-            recorded.is_some_and(|recorded| recorded.incarnation == leaving)
+            recorded.is_some_and(|recorded| {
+                recorded.revision > 0 && recorded.incarnations.contains(leaving)
+            })
         });
-        if timeout(time_until(reply_by), recorded).await.is_err() {
+        let is_recorded = timeout(time_until(reply_by), recorded).await.is_ok();
+        if !is_recorded {
             log::warn!(
-                "belief backend={} leaves: not recorded within {MAX_REPLY_DELAY_MS} ms",
+                "belief backend={} leaves: not recorded within {MAX_REPLY_DELAY_MS} ms, and not acknowledged",
                 leaving.id
             );
         }
+        is_recorded
     }
 
     /// Whether a leaving backend server has keys that are not marked for their next owners.
@@ -237,6 +249,12 @@
     }
 }
 
+/// Returns the response to a report of a leaving that would be forgotten with this run of the agent.
+fn not_recorded() -> HttpResponse {
+    let reason = "the leaving could not be recorded in the store yet";
+    refusal::rejected(StatusCode::SERVICE_UNAVAILABLE, reason)
+}
+
 /// Returns the time from now until `end`.
 fn time_until(end: Millis) -> Duration {
     Duration::from_millis(end.since(clock::now()))
--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -319,21 +319,21 @@
         })
     }
 
-    /// Has the agent's record rewritten when the listed state of the backend server changes, and whenever a new
+    /// Has the agent's record rewritten when the listed state or the leaving of the backend server changes, and whenever a new
     /// snapshot lacks the record, has it as lapsed, or shows that too few witnesses are left. Each new snapshot
     /// also removes the endpoints of absent instances.
     async fn follow_record_changes(&self) {
         let mut backend_updates = self.backend.subscribe();
         let mut snapshot_updates = self.snapshot.subscribe();
-        let mut listed = None;
+        let mut known = (None, None);
         loop {
             tokio::select! {
                 _ = backend_updates.changed() => {
-                    let next = self.backend.listed();
-                    if next == listed {
+                    let next = (self.backend.listed(), self.backend.leaving());
+                    if next == known {
                         continue;
                     }
-                    listed = next;
+                    known = next;
                 }
                 _ = snapshot_updates.changed() => {
                     self.read_recorded_leaving();
@@ -351,8 +351,10 @@
     fn read_recorded_leaving(&self) {
         let snapshot = self.snapshot.borrow();
         let recorded = snapshot.leaving.get(&self.settings.name);
-        self.backend
-            .set_recorded_leaving(clock::now(), recorded.map(|recorded| &recorded.incarnation));
+        self.backend.set_recorded_leaving(
+            clock::now(),
+            recorded.map(|recorded| &recorded.incarnations),
+        );
     }
 
     /// Whether the snapshot has this agent's record and the record has not lapsed.
--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use jy_kernel::clock;
-use jy_policy::leaving;
+use jy_policy::leaving::serve_until;
 use jy_ranges::table::KeyRange;
 use jy_ranges::table::RangeOwner;
 use jy_ranges::table::RangeTable;
@@ -19,6 +19,7 @@
 use jy_types::endpoint::GrantedRange;
 use jy_types::endpoint::ListedBackend;
 use jy_types::endpoint::ReleasedRange;
+use jy_types::leaving::LeavingSet;
 use jy_types::name::Name;
 use jy_types::time::Millis;
 use tokio::sync::watch;
@@ -28,10 +29,12 @@
 use crate::sent_requests::SentTicket;
 
 mod held;
+mod leaving;
 mod service;
 mod state;
 
 use held::to_held_range;
+use leaving::ReportedEnd;
 use service::ConfiguredService;
 
 pub use state::BackendState;
@@ -74,8 +77,9 @@
     announce_interval_ms: u64,
     /// How long a backend server serves after it has begun to leave, in milliseconds.
     drain_ms: u64,
-    /// The incarnation that began to leave according to the store.
-    recorded_leaving: RefCell<Option<BackendIncarnation>>,
+    /// The incarnations that began to leave according to the store.
+    recorded_leaving: RefCell<Option<LeavingSet>>,
+    reported_ends: RefCell<Vec<ReportedEnd>>,
     /// What this run of the agent granted to earlier incarnations that they held when the present one announced itself,
     /// and until when.
     inherited: RefCell<(Vec<GrantedRange>, Millis)>,
@@ -107,6 +111,7 @@
             announce_interval_ms,
             drain_ms: 0,
             recorded_leaving: RefCell::default(),
+            reported_ends: RefCell::default(),
             inherited: RefCell::default(),
             era: Cell::new(0),
             settled_at: Cell::default(),
@@ -183,7 +188,7 @@
     pub fn accepts(&self, now: Millis, state: &BackendState, is_keyed: bool) -> bool {
         let is_within_drain = || {
             let since = state.leaving_since;
-            since.is_some_and(|since| now < leaving::serve_until(since, self.drain_ms))
+            since.is_some_and(|since| now < serve_until(since, self.drain_ms))
         };
         state.is_serving()
             || (is_keyed && state.is_running() && !state.disowned && is_within_drain())
@@ -270,17 +275,8 @@
             sent,
         });
         state.released.extend(announced.released.iter().cloned());
-        let is_recorded = self.is_recorded_leaving(&announced.incarnation);
-        if is_recorded || announced.phase == BackendPhase::Draining {
-            // An earlier run of the agent may have acknowledged that it leaves, at any time before.
-            let since = if is_recorded || is_first_heard {
-                now.minus(self.drain_ms)
-            } else {
-                now
-            };
-            state.leaving_since.get_or_insert(since);
-        }
         state.announced = announced;
+        self.mark_leaving(now, state, is_first_heard);
         state.last_heard = now;
         state.has_returned |= state.has_exited(now);
         state.refuses = false;
@@ -403,44 +399,6 @@
             && table.owned(&owner).any(|range| range.next_owner.is_none())
     }
 
-    /// Returns the incarnation of the backend server if it leaves or has left.
-    #[must_use]
-    pub fn leaving(&self) -> Option<BackendIncarnation> {
-        self.read(|state| {
-            let state = state.filter(|state| state.leaving_since.is_some())?;
-            Some(state.announced.incarnation.clone())
-        })
-    }
-
-    /// Sets the incarnation that began to leave according to the store, which an earlier run of the agent may
-    /// have acknowledged. A late report of it does not bring it back into use.
-    pub fn set_recorded_leaving(&self, now: Millis, incarnation: Option<&BackendIncarnation>) {
-        if self.recorded_leaving.borrow().as_ref() == incarnation {
-            return;
-        }
-        self.recorded_leaving.replace(incarnation.cloned());
-        let mut current = self.state.borrow_mut();
-        let Some(state) = current.as_mut() else {
-            return;
-        };
-        let is_leaving = state.leaving_since.is_some();
-        if is_leaving || !self.is_recorded_leaving(&state.announced.incarnation) {
-            return;
-        }
-        log::info!(
-            "belief backend={} leaves, as an earlier run of the agent recorded",
-            state.announced.incarnation.id
-        );
-        state.leaving_since = Some(now.minus(self.drain_ms));
-        drop(current);
-        self.changes.send_modify(|count| *count += 1);
-    }
-
-    /// Whether the store says that an incarnation has begun to leave.
-    fn is_recorded_leaving(&self, incarnation: &BackendIncarnation) -> bool {
-        self.recorded_leaving.borrow().as_ref() == Some(incarnation)
-    }
-
     /// Returns the incarnation whose service time is to be measured, once for each.
     #[must_use]
     pub fn take_measurement(&self) -> Option<BackendIncarnation> {
@@ -468,21 +426,6 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
-    /// Marks the backend server as ended, as it has reported.
-    pub fn mark_ended(&self, now: Millis, id: &str) {
-        let mut current = self.state.borrow_mut();
-        let Some(state) = current.as_mut() else {
-            return;
-        };
-        if *state.announced.incarnation.id == *id {
-            log::info!("belief backend={id} reported its end");
-            state.ended = true;
-            state.leaving_since.get_or_insert(now);
-        }
-        drop(current);
-        self.changes.send_modify(|count| *count += 1);
-    }
-
     /// Marks the backend server as refusing connections: its process has ended, or it exits and only finishes
     /// the requests that it runs.
     pub fn mark_refused(&self, id: &str) {
--- a/crates/edge/src/member.rs
+++ b/crates/edge/src/member.rs
@@ -14,8 +14,8 @@
 use jy_platform::store::StoreWrite;
 use jy_policy::outage;
 use jy_policy::quota::lender::LeaseTerm;
-use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::InstanceRecord;
+use jy_types::leaving::LeavingSet;
 use jy_types::name::Name;
 use jy_types::time::Millis;
 use tokio::sync::Notify;
@@ -62,8 +62,8 @@
 /// Builds the agent's record from its present state.
 pub type RecordFn = Rc<dyn Fn() -> InstanceRecord>;
 
-/// Returns the backend server's incarnation if it leaves.
-pub type LeavingFn = Rc<dyn Fn() -> Option<BackendIncarnation>>;
+/// Returns the backend server's incarnations of which this run of the agent knows that they leave or have left.
+pub type LeavingFn = Rc<dyn Fn() -> Option<LeavingSet>>;
 
 /// Whether the store's tables name the backend server as the owner of all that it holds.
 pub type RestoredFn = Rc<dyn Fn(&FleetSnapshot) -> bool>;
@@ -130,8 +130,8 @@
         }
     }
 
-    /// Sets the function that returns the backend server's incarnation if it leaves. Its leaving is recorded
-    /// beside the agent's record, and outlives both.
+    /// Sets the function that returns the backend server's incarnations that leave or have left. They are recorded
+    /// beside the agent's record, and outlive both.
     #[must_use]
     pub fn with_leaving(mut self, leaving: LeavingFn) -> Self {
         self.leaving = leaving;
@@ -313,18 +313,18 @@
         }
     }
 
-    /// Returns the backend server's incarnation if it leaves and the store does not say so yet.
-    fn unrecorded_leaving(&self, snapshot: &FleetSnapshot) -> Option<BackendIncarnation> {
-        let recorded = snapshot.leaving.get(&self.node);
+    /// Returns the backend server's incarnations that leave or have left if the store lacks some of them.
+    fn unrecorded_leaving(&self, snapshot: &FleetSnapshot) -> Option<LeavingSet> {
+        let local = (self.leaving)();
+        let Some(recorded) = snapshot.leaving.get(&self.node) else {
+            return local;
+        };
+        let known = recorded.incarnations.clone();
+        let known = local.iter().fold(known, LeavingSet::merge);
         // A record that was lost with the store's last era is written again, also if the agent knows of the leaving only
         // from that record.
-        let lost = recorded.filter(|recorded| recorded.revision == 0);
-        let lost = lost.map(|recorded| recorded.incarnation.clone());
-        (self.leaving)().or(lost).filter(|incarnation| {
-            recorded.is_none_or(|recorded| {
-                recorded.revision == 0 || recorded.incarnation != *incarnation
-            })
-        })
+        let is_recorded = recorded.revision > 0 && recorded.incarnations == known;
+        (!is_recorded).then_some(known)
     }
 
     /// Writes the record, the leaving of the backend server, and the set of witnesses if a new one is given.
--- a/crates/edge/src/snapshot.rs
+++ b/crates/edge/src/snapshot.rs
@@ -13,8 +13,8 @@
 use jy_platform::operator::OperatorRecord;
 use jy_policy::choice::RouteChoice;
 use jy_ranges::table::RangeTable;
-use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::InstanceRecord;
+use jy_types::leaving::LeavingSet;
 use jy_types::name::Name;
 use jy_types::quota::SlotId;
 use jy_types::quota::SlotRecord;
@@ -86,13 +86,13 @@
     pub revision: u64,
 }
 
-/// The last incarnation on an instance that began to leave, and the revision of its record. The record outlives the
-/// run of the agent that acknowledged the leaving.
+/// The last incarnations on an instance that began to leave, and the revision of their record. The record outlives the
+/// runs of the agent that acknowledged the leavings.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LeavingRecord {
-    /// The incarnation.
-    pub incarnation: BackendIncarnation,
-    /// The record's revision in the store, or zero if it is known only from an earlier era.
+    /// The incarnations.
+    pub incarnations: LeavingSet,
+    /// The record's revision in the store, or zero if some of them are known only from an earlier era.
     pub revision: u64,
 }
 
@@ -531,17 +531,17 @@
             }
             return;
         };
-        match serde_json::from_str::<BackendIncarnation>(value) {
-            // The copy that the store came back from does not have the later leaving yet.
-            Ok(incarnation)
-                if earlier.is_some_and(|earlier| {
-                    earlier.incarnation.started_at > incarnation.started_at
-                }) => {}
-            Ok(incarnation) => {
-                let revision = record.revision;
+        match serde_json::from_str::<LeavingSet>(value) {
+            Ok(stored) => {
+                // The copy that the store came back from may lack later leavings.
+                let incarnations = match earlier {
+                    Some(earlier) => stored.clone().merge(&earlier.incarnations),
+                    None => stored.clone(),
+                };
+                let is_stored = incarnations == stored;
                 let leaving = LeavingRecord {
-                    incarnation,
-                    revision,
+                    incarnations,
+                    revision: if is_stored { record.revision } else { 0 },
                 };
                 self.leaving.insert(node.into(), leaving);
             }
--- a/crates/edge/tests/test_agent_process/fleet.rs
+++ b/crates/edge/tests/test_agent_process/fleet.rs
@@ -101,6 +101,18 @@
         kill_process(pid.expect("the process has an id"), signal).expect("failed to signal");
     }
 
+    /// Kills the process and starts another one in its place.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it can't be started.
+    pub fn restart(&self) {
+        let mut process = self.process.borrow_mut();
+        process.kill().expect("failed to kill the agent");
+        process.wait().expect("failed to await the agent's end");
+        *process = spawn_agent(&self.settings_path, &self.log_path);
+    }
+
     /// Whether the process runs.
     ///
     /// # Panics
@@ -180,11 +192,15 @@
         let store = StandinStore::serve(store_address)
             .await
             .expect("failed to start the store");
-        let routes = [("safe", true), ("once", false)];
-        let routes = routes.map(|(name, is_idempotent)| OperatorRoute {
+        let routes = [
+            ("safe", true, SERVICE),
+            ("once", false, SERVICE),
+            ("front", true, "front"),
+        ];
+        let routes = routes.map(|(name, is_idempotent, service)| OperatorRoute {
             name,
             is_idempotent,
-            service: SERVICE,
+            service,
         });
         let config = OperatorConfig {
             version: 1,
@@ -320,16 +336,8 @@
     let settings_path = folder.join(format!("{service}.jsonc"));
     std::fs::write(&settings_path, settings.to_string()).expect("failed to write the settings");
     let log_path = folder.join(format!("{service}.log"));
-    let log = File::create(&log_path).expect("failed to create the log");
-    let error_log = log.try_clone().expect("failed to share the log");
-    let process = Command::new(env!("CARGO_BIN_EXE_jyedge"))
-        .arg("--config")
-        .arg(&settings_path)
-        .stdin(Stdio::null())
-        .stdout(log)
-        .stderr(error_log)
-        .spawn()
-        .expect("failed to start the agent");
+    File::create(&log_path).expect("failed to create the log");
+    let process = spawn_agent(&settings_path, &log_path);
     AgentProcess {
         caller: address(7_100),
         gate: address(7_103),
@@ -341,6 +349,25 @@
     }
 }
 
+/// Starts an agent process that adds to the log.
+///
+/// # Panics
+///
+/// Panics if it can't be started.
+fn spawn_agent(settings_path: &Path, log_path: &Path) -> Child {
+    let log = File::options().append(true).open(log_path);
+    let log = log.expect("failed to open the log");
+    let error_log = log.try_clone().expect("failed to share the log");
+    Command::new(env!("CARGO_BIN_EXE_jyedge"))
+        .arg("--config")
+        .arg(settings_path)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(error_log)
+        .spawn()
+        .expect("failed to start the agent")
+}
+
 /// Accepts the connections of the backend server. Answers good requests and status checks itself.
 async fn accept(listener: TcpListener, serve: ServeFn, requests: Rc<RefCell<Vec<String>>>) {
     while let Ok((mut stream, _)) = listener.accept().await {
--- a/crates/edge/tests/test_agent_process/main.rs
+++ b/crates/edge/tests/test_agent_process/main.rs
@@ -2,5 +2,6 @@
 
 mod broken_responses;
 mod fleet;
+mod leaving;
 mod services;
 mod stops;
--- a/crates/edge/tests/test_announcements.rs
+++ b/crates/edge/tests/test_announcements.rs
@@ -25,6 +25,7 @@
 use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::BackendPhase;
 use jy_types::endpoint::InstanceRecord;
+use jy_types::leaving::LeavingSet;
 use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -72,7 +73,7 @@
 fn recorded_as_leaving(table: RangeTable) -> Rc<FleetSnapshot> {
     let mut snapshot = FleetSnapshot::clone(&snapshot(table));
     let leaving = LeavingRecord {
-        incarnation: owner("n").incarnation,
+        incarnations: LeavingSet::new(owner("n").incarnation),
         revision: 2,
     };
     snapshot.leaving.insert("n".into(), leaving);
@@ -184,6 +185,40 @@
     });
 }
 
+/// Guards against an acknowledged leaving that the store lacks: nothing would tell the next run of the agent.
+#[gtest]
+fn answer_leaving_without_record_is_not_acknowledged() {
+    actix_rt::System::new().block_on(async {
+        let end = HttpRequest::new(Method::DELETE, "/instances/i-1");
+        let draining = announcement("draining");
+        for (is_known, request) in [(false, &end), (true, &end), (false, &draining)] {
+            let listener = listener();
+            if is_known {
+                let response = listener.answer(&announcement("ready")).await;
+                expect_that!(response.status, eq(StatusCode::OK));
+            }
+            // A late announcement comes after the leaving.
+            for report in [request, &announcement("ready")] {
+                let response = listener.answer(report).await;
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                expect_that!(response.status, eq(status), "known: {is_known}");
+            }
+            let listed = listener.backend.listed();
+            let is_used = listed.is_some_and(|listed| listed.phase == BackendPhase::Serving);
+            expect_that!(is_used, eq(false), "known: {is_known}");
+            let leaving = LeavingRecord {
+                incarnations: listener.backend.leaving().expect("it leaves"),
+                revision: 3,
+            };
+            let mut recorded = FleetSnapshot::clone(&snapshot(table()));
+            recorded.leaving.insert("n".into(), leaving);
+            listener.snapshot.send_replace(Rc::new(recorded));
+            let response = listener.answer(request).await;
+            expect_that!(response.status, eq(StatusCode::OK), "known: {is_known}");
+        }
+    });
+}
+
 /// Guards against a server that had left and is in use again: after the agent's restart one of its reports arrives
 /// seconds late.
 #[gtest]
--- a/crates/edge/tests/test_backend.rs
+++ b/crates/edge/tests/test_backend.rs
@@ -17,7 +17,9 @@
 use jy_types::endpoint::BackendPhase;
 use jy_types::endpoint::HeldRange;
 use jy_types::endpoint::ReleasedRange;
+use jy_types::leaving::LeavingSet;
 use jy_types::time::Millis;
+use jy_types::time::WallMillis;
 
 /// Longest time for which keys are granted to the backend server, in milliseconds.
 const LONGEST_GRANT_MS: u64 = 10_000;
@@ -127,7 +129,7 @@
 fn announce_after_end_stays_ended() {
     let backend = unannounced_backend();
     backend.announce(Millis(0), address(), announcement(1, 1), None, UNLIMITED);
-    backend.mark_ended(Millis(0), "i-1");
+    backend.mark_ended(Millis(0), WallMillis(0), "i-1");
     let outcome = backend.announce(Millis(10), address(), announcement(1, 2), None, UNLIMITED);
     expect_that!(outcome, eq(&AnnounceOutcome::Outdated));
     expect_that!(backend.listed(), none());
@@ -217,7 +219,7 @@
     expect_that!(is_free(&backend, 200), eq(false), "its grant runs");
     expect_that!(is_free(&backend, 4_500), eq(true), "its grant has expired");
     let backend = holding_backend();
-    backend.mark_ended(Millis(100), "i-1");
+    backend.mark_ended(Millis(100), WallMillis(100), "i-1");
     backend.mark_refused("i-1");
     expect_that!(
         is_free(&backend, 200),
@@ -437,7 +439,7 @@
         UNLIMITED,
     );
     expect_that!(accepts(&backend, 9_001, false), eq(true));
-    backend.set_recorded_leaving(Millis(9_005), Some(&owner(1).incarnation));
+    backend.set_recorded_leaving(Millis(9_005), Some(&LeavingSet::new(owner(1).incarnation)));
     expect_that!(accepts(&backend, 9_006, false), eq(false));
     expect_that!(accepts(&backend, 9_006, true), eq(false));
     backend.announce(
@@ -465,7 +467,7 @@
 #[gtest]
 fn accepts_ended_without_notice_serves_keys_until_drained() {
     let backend = holding_backend();
-    backend.mark_ended(Millis(100), "i-1");
+    backend.mark_ended(Millis(100), WallMillis(100), "i-1");
     expect_that!(accepts(&backend, 200, true), eq(true));
     expect_that!(accepts(&backend, 200, false), eq(false));
     expect_that!(accepts(&backend, 100 + DRAIN_MS, true), eq(false));
@@ -476,7 +478,7 @@
 fn accepts_ended_after_draining_takes_nothing() {
     let backend = holding_backend();
     announce_leaving(&backend, 100, 2);
-    backend.mark_ended(Millis(200), "i-1");
+    backend.mark_ended(Millis(200), WallMillis(200), "i-1");
     expect_that!(accepts(&backend, 201, true), eq(false));
 }
 
--- a/crates/edge/tests/test_era.rs
+++ b/crates/edge/tests/test_era.rs
@@ -38,6 +38,7 @@
 use jy_ranges::table::RangeTable;
 use jy_types::endpoint::BackendIncarnation;
 use jy_types::endpoint::InstanceRecord;
+use jy_types::leaving::LeavingSet;
 use jy_types::name::Name;
 use jy_types::quota::SlotId;
 use jy_types::quota::SlotRecord;
@@ -208,14 +209,18 @@
 #[gtest]
 fn with_era_keeps_leaving() {
     let first = apply_list(Default::default(), 10, 0, vec![leaving(50, 2)], 50);
-    for copy in [Vec::new(), vec![leaving(30, 1)]] {
+    for copy in [Vec::new(), vec![leaving(30, 1)], vec![leaving(30, 3)]] {
         let (_, snapshot) = apply_list(first.clone(), 20, 1, copy, 40);
         let known = snapshot.leaving.get("n").expect("the leaving is known");
-        expect_that!(known.incarnation, eq(&incarnation(2)));
+        expect_that!(known.incarnations.contains(&incarnation(2)), eq(true));
         expect_that!(known.revision, eq(0), "it has to be written again");
     }
-    let (_, snapshot) = apply_list(first, 20, 1, vec![leaving(30, 3)], 40);
+    let both = LeavingSet::new(incarnation(2)).with(incarnation(3));
+    let text = serde_json::to_string(&both).expect("it can be encoded");
+    let copy = vec![record(leaving_key("n"), 30, Some(text))];
+    let (_, snapshot) = apply_list(first, 20, 1, copy, 40);
     let known = snapshot.leaving.get("n").expect("the leaving is known");
+    expect_that!(known.incarnations, eq(&both));
     expect_that!(known.revision, eq(30));
 }
 
--- a/crates/edge/tests/test_service.rs
+++ b/crates/edge/tests/test_service.rs
@@ -31,6 +31,10 @@
 }
 
 /// Applies an event.
+///
+/// # Panics
+///
+/// Panics if a backend server ends that had not announced itself.
 fn apply(backend: &LocalBackend, number: u64, event: ServiceEvent) {
     match event {
         ServiceEvent::Settings(read_at, service) => {
@@ -54,7 +58,10 @@
             };
             backend.announce(Millis(number), ADDRESS, announced, None, Millis(0));
         }
-        ServiceEvent::Ended(started_at) => backend.mark_ended(Millis(number), &id_of(started_at)),
+        ServiceEvent::Ended(started_at) => {
+            let ended = backend.mark_ended(Millis(number), WallMillis(number), &id_of(started_at));
+            assert_eq!(ended.started_at, started_at, "it had announced itself");
+        }
     }
 }
 
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod endpoint;
 pub mod finding;
 pub mod key;
+pub mod leaving;
 pub mod member;
 pub mod name;
 pub mod peer;
