--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -319,9 +319,9 @@
         })
     }
 
-    /// Has the agent's record rewritten when the listed state or the leaving of the backend server changes, and whenever a new
-    /// snapshot lacks the record, has it as lapsed, or shows that too few witnesses are left. Each new snapshot
-    /// also removes the endpoints of absent instances.
+    /// Has the agent's record rewritten when the listed state or the leaving of the backend server changes, and
+    /// whenever a new snapshot lacks the record, has it as lapsed, or shows that too few witnesses are left. Each
+    /// new snapshot also removes the endpoints of absent instances.
     async fn follow_record_changes(&self) {
         let mut backend_updates = self.backend.subscribe();
         let mut snapshot_updates = self.snapshot.subscribe();
--- a/crates/edge/src/backend/leaving.rs
+++ b/crates/edge/src/backend/leaving.rs
@@ -13,7 +13,7 @@
 /// Largest number of reported ends that are kept.
 const MAX_REPORTED_ENDS: usize = 8;
 
-/// An end that was reported by a backend server whose start this run of the agent does not know.
+/// An end that was reported by another backend server than the one that announced itself last, so that its start is not known.
 #[derive(Clone, Debug)]
 pub(super) struct ReportedEnd {
     /// Its id, with the time of the report in place of the start.
@@ -41,8 +41,8 @@
     /// Marks the backend server as ended, as it has reported at `now`, which is `wall_now` on the wall clock. Returns the
     /// incarnation that has ended.
     ///
-    /// If this run of the agent has not heard of it, announcements of it may still be in transit. All incarnations under
-    /// its id that started before the report have ended then.
+    /// If it is not the one that announced itself last, this run of the agent may not have heard of it, and announcements of
+    /// it may still be in transit. All incarnations under its id that started before the report have ended then.
     pub fn mark_ended(&self, now: Millis, wall_now: WallMillis, id: &str) -> BackendIncarnation {
         let mut current = self.state.borrow_mut();
         let known = current
@@ -61,14 +61,14 @@
         incarnation
     }
 
-    /// Keeps the end of a backend server that is not the one that announced itself last.
+    /// Keeps the end of a backend server whose start is not known.
     fn keep_reported_end(&self, now: Millis, wall_now: WallMillis, id: &str) -> BackendIncarnation {
         let mut reported = self.reported_ends.borrow_mut();
         if let Some(end) = reported.iter_mut().find(|end| *end.incarnation.id == *id) {
             end.incarnation.started_at = end.incarnation.started_at.max(wall_now.0);
             return end.incarnation.clone();
         }
-        log::info!("belief backend={id} reported its end before this agent heard of it");
+        log::info!("belief backend={id} reported its end; it did not announce itself last");
         let incarnation = BackendIncarnation {
             id: Name::from(id),
             started_at: wall_now.0,
@@ -107,7 +107,7 @@
         state.leaving_since = state.leaving_since.or(since);
     }
 
-    /// Returns when the end of an incarnation was reported that had not been heard of.
+    /// Returns when the end of an incarnation was reported, if that was before it announced itself.
     fn reported_end(&self, incarnation: &BackendIncarnation) -> Option<Millis> {
         let reported = self.reported_ends.borrow();
         let end = reported.iter().find(|end| {
