soak: a backend server reports its end to an agent that was just started

Cause: the soak's backend servers left only after they had announced it, to agents that knew them.

Change: half of these faults are now of another kind. The agent is killed; the backend server reports its end once the agent is back, before any announcement; an announcement from before arrives 0.5 s after the acknowledgement; the backend server serves on and is replaced under the same id.

--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -36,6 +36,8 @@
 pub const INSTANCES: usize = SERVICES.len() * ZONES.len();
 /// Shorter than in deployments, which shortens a run.
 const ANNOUNCE_INTERVAL_MS: u64 = 400;
+/// How long after the acknowledged end of a backend server an earlier announcement of it arrives, in milliseconds.
+const LATE_ANNOUNCEMENT_MS: u64 = 500;
 /// Time that a backend server takes for a request.
 const SERVICE_TIME_MS: u64 = 20;
 /// Host name that the routes match and callers send.
@@ -135,6 +137,13 @@
         }
     }
 
+    /// Has the backend server of an instance report its end, if one is running. An announcement of it arrives late.
+    pub fn end_backend(&self, index: usize) {
+        if let Some(backend) = self.instances[index].backend.borrow().as_ref() {
+            backend.leave(LATE_ANNOUNCEMENT_MS);
+        }
+    }
+
     /// Starts the agent of an instance, unless one is running.
     ///
     /// # Errors
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -41,6 +41,9 @@
     CrashBackend(usize),
     /// Drains a backend server, stops it and starts it again as a new incarnation.
     DrainBackend(usize),
+    /// Kills an agent's process. Its backend server reports its end once the process is started again, before any
+    /// announcement, and is started again as a new incarnation some seconds later.
+    EndBackend(usize),
     /// Takes an availability zone out of service and back in.
     ZoneOut(usize),
     /// Publishes a new version of the configuration.
@@ -125,7 +128,9 @@
             .unwrap_or(&FaultKind::StoreSlow),
         12 => FaultKind::StoreLost,
         13 => FaultKind::CrashBackend(agent),
-        14 => FaultKind::DrainBackend(agent),
+        14 => *[FaultKind::DrainBackend(agent), FaultKind::EndBackend(agent)]
+            .choose(rng)
+            .unwrap_or(&FaultKind::DrainBackend(agent)),
         _ => *[FaultKind::ZoneOut(agent % 3), FaultKind::Configure]
             .choose(rng)
             .unwrap_or(&FaultKind::Configure),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -40,6 +40,8 @@
 const POLL_INTERVAL_MS: u64 = 20;
 /// Time that a draining backend server keeps running, from the end of its fault.
 const DRAIN_MS: u64 = 2_000;
+/// How long a backend server serves after the start of the agent to which it reports its end, in milliseconds.
+const LEAVE_MS: u64 = 4_500;
 
 /// Result of a run.
 #[derive(Clone, Debug)]
@@ -207,6 +209,10 @@
             FaultKind::StoreCompact => fleet.store.compact(),
             FaultKind::CrashBackend(index) => fleet.crash_backend(index),
             FaultKind::DrainBackend(index) => fleet.drain_backend(index),
+            FaultKind::EndBackend(index) => {
+                fleet.signal(index, Signal::KILL)?;
+                fleet.end_backend(index);
+            }
             FaultKind::ZoneOut(zone) => {
                 operator::set_zone_out(&fleet.store, ZONES[zone], true);
                 self.zones_out.insert(zone);
@@ -266,6 +272,12 @@
                 fleet.crash_backend(index);
                 fleet.start_backend(index).await?;
             }
+            FaultKind::EndBackend(index) => {
+                fleet.start_agent(index)?;
+                sleep(Duration::from_millis(LEAVE_MS)).await;
+                fleet.crash_backend(index);
+                fleet.start_backend(index).await?;
+            }
             FaultKind::ZoneOut(zone) => {
                 operator::set_zone_out(&fleet.store, ZONES[zone], false);
                 self.zones_out.remove(&zone);
