edge: decide in one chain since when a backend server leaves

Cause: the reported end was looked at twice.

Change: no behaviour changes.

Result: test_leaving, test_backend, test_announcements and test_era pass.

--- a/crates/edge/src/backend/leaving.rs
+++ b/crates/edge/src/backend/leaving.rs
@@ -88,23 +88,20 @@
     /// heard of no backend server before.
     pub(super) fn mark_leaving(&self, now: Millis, state: &mut BackendState, is_first_heard: bool) {
         let incarnation = &state.announced.incarnation;
-        let reported_at = self.reported_end(incarnation);
-        state.ended |= reported_at.is_some();
-        let since = if reported_at.is_some() {
+        let since = if let Some(reported_at) = self.reported_end(incarnation) {
+            state.ended = true;
             reported_at
         } else if self.is_recorded_leaving(incarnation) {
-            Some(now.minus(self.drain_ms))
-        } else if state.announced.phase == BackendPhase::Draining {
+            now.minus(self.drain_ms)
+        } else if state.announced.phase != BackendPhase::Draining {
+            return;
+        } else if is_first_heard {
             // An earlier run of the agent may have acknowledged that it leaves, at any time before.
-            Some(if is_first_heard {
-                now.minus(self.drain_ms)
-            } else {
-                now
-            })
+            now.minus(self.drain_ms)
         } else {
-            None
+            now
         };
-        state.leaving_since = state.leaving_since.or(since);
+        state.leaving_since.get_or_insert(since);
     }
 
     /// Returns when the end of an incarnation was reported, if that was before it announced itself.
