edge: have each request see a change of the settings file

What callers saw: after the settings file named another service for the backend server, and before anything was announced, requests that began on the instance ran for up to 100 ms with the former service as their origin.

The platform's rule on origins has no time bound, and the file may change without a signal, so each of these requests was a fault, and not only a late change.

Evidence: origin_changed_settings_are_stated_at_once (agents as processes; the file is replaced, four requests are sent at once, nothing is announced) failed after 8 replacements of 8 on the code before: "back: [front, front, front, front]". With the call of reload_settings in the gateway taken out it fails the same way.

Change: FileVersion (config) says from a file's metadata whether it may have changed since it was last read. A caller's request asks it when its origin is decided, and the file is read if so. A file that changed less than 20 ms before it was read is read again, since its next version could have the same timestamps. The polling stays as it was, for announcements, for other agents' requests, and for file systems whose metadata are late.

Result: the test passes, and so do the two on replaced backend servers and five of FileVersion.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod agent;
 pub mod edge;
+pub mod file_version;
 pub mod parameter;
 pub mod reader;
 pub mod render;
--- a/crates/edge/src/announcements.rs
+++ b/crates/edge/src/announcements.rs
@@ -20,6 +20,7 @@
 use tokio::time::timeout;
 
 use crate::backend::AnnounceOutcome;
+use crate::backend::ReloadFn;
 use crate::backend::SharedBackend;
 use crate::feed::SnapshotSender;
 use crate::gate::LocalGate;
@@ -31,9 +32,6 @@
 /// milliseconds. The platform takes an answer that comes within a second.
 const MAX_REPLY_DELAY_MS: u64 = 400;
 
-/// Reads the settings file again, in case that it has changed.
-pub type ReloadFn = Rc<dyn Fn()>;
-
 /// Answers announcements.
 pub struct AnnouncementListener {
     /// What the agent knows of the backend server.
--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -177,11 +177,19 @@
             link_bytes_per_ms,
         );
         let gate = Rc::new(gate.with_memory(Rc::clone(&memory)));
+        let settings_reader = Rc::new(SettingsReader::new(
+            path,
+            settings.clone(),
+            Rc::clone(&backend),
+            Rc::clone(&gate),
+        ));
         let operator_proof: Rc<Cell<Millis>> = Rc::default();
         let quota = Rc::new(LocalQuota::new(Name::clone(&settings.name), bounds.quota));
+        let request_reader = Rc::clone(&settings_reader);
         let gateway = Rc::new(CallerGateway::new(GatewayParts {
             node: Name::clone(&settings.name),
             zone: Name::clone(&settings.zone),
+            reload_settings: Rc::new(move || request_reader.reload_if_changed()),
             gate: Rc::clone(&gate),
             snapshot: Rc::clone(&snapshot),
             link_bytes_per_ms,
@@ -234,14 +242,8 @@
             snapshot: Rc::clone(&snapshot),
             state: Rc::clone(&feed),
         };
-        let settings_reader = SettingsReader::new(
-            path,
-            settings.clone(),
-            Rc::clone(&backend),
-            Rc::clone(&gate),
-        );
         Self {
-            settings_reader: Rc::new(settings_reader),
+            settings_reader,
             operator: relay(FeedPart::Operator, operator_proof),
             fleet: relay(FeedPart::Fleet, Rc::default()),
             settings,
--- a/crates/edge/src/app/reload.rs
+++ b/crates/edge/src/app/reload.rs
@@ -2,11 +2,13 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
 use jy_config::edge;
 use jy_config::edge::EdgeSettings;
+use jy_config::file_version::FileVersion;
 use jy_kernel::clock;
 use jy_types::name::Name;
 use tokio::signal::unix::SignalKind;
@@ -16,7 +18,7 @@
 use crate::backend::SharedBackend;
 use crate::gate::LocalGate;
 
-/// The settings file is polled because it may change without a signal.
+/// The settings file is polled because it may change without a signal, also while no request arrives.
 const SETTINGS_POLL_MS: u64 = 100;
 
 /// Reads the settings file and applies its changes.
@@ -24,6 +26,7 @@
 /// Only the service and the address of the backend server change in a running agent.
 pub(super) struct SettingsReader {
     path: Name,
+    version: RefCell<FileVersion>,
     /// Text of the file when it was last read.
     text: RefCell<String>,
     /// Whether the last attempt to read the file succeeded.
@@ -43,6 +46,7 @@
     ) -> Self {
         Self {
             path,
+            version: RefCell::default(),
             text: RefCell::default(),
             is_readable: Cell::new(true),
             applied: RefCell::new(settings),
@@ -51,7 +55,20 @@
         }
     }
 
-    /// Applies the file if it has changed since it was last read.
+    /// Reads the file if its metadata say that it may have changed, and applies it if it has. Cheap enough to be called
+    /// for each request.
+    pub(super) fn reload_if_changed(&self) {
+        let path = Path::new(&*self.path);
+        let may_have_changed = self
+            .version
+            .borrow_mut()
+            .may_have_changed(path, clock::now());
+        if may_have_changed {
+            self.reload();
+        }
+    }
+
+    /// Reads the file, and applies it if it has changed since it was last read.
     pub(super) fn reload(&self) {
         let path = &*self.path;
         let text = match std::fs::read_to_string(path) {
@@ -87,7 +104,8 @@
     }
 }
 
-/// Applies changes of the settings file: at SIGHUP, and every [`SETTINGS_POLL_MS`] milliseconds.
+/// Applies changes of the settings file at SIGHUP, and every [`SETTINGS_POLL_MS`] milliseconds, also if its metadata
+/// don't show them.
 pub(super) async fn follow_settings(reader: Rc<SettingsReader>) {
     let mut hangup = match signal(SignalKind::hangup()) {
         Ok(hangup) => hangup,
--- a/crates/edge/src/backend.rs
+++ b/crates/edge/src/backend.rs
@@ -37,6 +37,7 @@
 use leaving::ReportedEnd;
 use service::ConfiguredService;
 
+pub use service::ReloadFn;
 pub use state::BackendState;
 
 /// Duration of a grant in announcement intervals, so that a restart of the agent does not end it.
--- a/crates/edge/src/backend/service.rs
+++ b/crates/edge/src/backend/service.rs
@@ -1,11 +1,16 @@
 //! The service of the backend server beside the agent.
 
+use std::rc::Rc;
+
 use jy_types::endpoint::BackendIncarnation;
 use jy_types::name::Name;
 use jy_types::time::WallMillis;
 
 use super::LocalBackend;
 
+/// Applies the settings file if it has changed since it was last read.
+pub type ReloadFn = Rc<dyn Fn()>;
+
 /// The service that the settings name for the backend server.
 #[derive(Debug, Default)]
 pub(super) struct ConfiguredService {
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -36,6 +36,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::backend::ReloadFn;
 use crate::feed::SnapshotSender;
 use crate::forward;
 use crate::forward::GateJob;
@@ -80,6 +81,7 @@
 pub struct CallerGateway {
     node: Name,
     zone: Name,
+    reload_settings: ReloadFn,
     gate: Rc<LocalGate>,
     snapshot: Rc<SnapshotSender>,
     endpoints: RefCell<EndpointTable>,
@@ -105,6 +107,8 @@
     pub node: Name,
     /// Availability zone of the instance.
     pub zone: Name,
+    /// Reads the settings file again if it has changed.
+    pub reload_settings: ReloadFn,
     /// The agent's gate.
     pub gate: Rc<LocalGate>,
     /// The latest snapshot of the fleet's records.
@@ -168,6 +172,7 @@
         Self {
             node: parts.node,
             zone: parts.zone,
+            reload_settings: parts.reload_settings,
             gate: parts.gate,
             snapshot: parts.snapshot,
             endpoints: RefCell::new(EndpointTable::new()),
@@ -296,6 +301,8 @@
                 deadline,
             ));
         };
+        // The file may have changed since it was last read, and nothing may have been announced since.
+        (self.reload_settings)();
         let is_known = |service: &str| routes.services.contains_key(service);
         let origin = self.gate.backend.service(is_known);
         let job = GateJob {
--- a/crates/edge/tests/test_agent_process/services.rs
+++ b/crates/edge/tests/test_agent_process/services.rs
@@ -77,6 +77,29 @@
     });
 }
 
+/// Guards against requests that state the service of a backend server that is gone, when the settings file names another
+/// one and nothing has been announced yet: the file was read ten times a second, and requests did not wait for that.
+#[gtest]
+fn origin_changed_settings_are_stated_at_once() {
+    actix_rt::System::new().block_on(async {
+        let (fleet, stated) = start_fleet().await;
+        let agent = &fleet.agents[0];
+        for number in 0..REPLACEMENTS {
+            let service = SERVICES[number as usize % SERVICES.len()];
+            agent.set_backend(service, agent.backend);
+            for _ in 0..REQUESTS {
+                let result = fleet.send(agent, "/safe/x", Bytes::new()).await;
+                expect_that!(result.is_ok(), eq(true), "replacement {number}");
+            }
+            let services = stated.take();
+            let is_stated = services.iter().all(|stated| stated == service);
+            expect_that!(is_stated, eq(true), "{service}: {services:?}");
+            expect_that!(services.len() as u64, ge(REQUESTS));
+            sleep(Duration::from_millis(INTERVAL_MS)).await;
+        }
+    });
+}
+
 /// Guards against the same where the next backend server also has another address: its first announcement was rejected.
 #[gtest]
 fn origin_moved_backend_is_stated_from_its_first_acknowledgement() {
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -216,6 +216,7 @@
     Rc::new(CallerGateway::new(GatewayParts {
         node: "own".into(),
         zone: "z".into(),
+        reload_settings: Rc::new(|| ()),
         gate: Rc::new(gate.with_memory(memory)),
         snapshot,
         link_bytes_per_ms: LINK_BYTES_PER_MS,
--- a/crates/edge/tests/test_keys.rs
+++ b/crates/edge/tests/test_keys.rs
@@ -241,6 +241,7 @@
     let gateway = Rc::new(CallerGateway::new(GatewayParts {
         node: "own".into(),
         zone: "z".into(),
+        reload_settings: Rc::new(|| ()),
         gate: new_gate(unused_address, own_backend, &snapshot),
         snapshot: Rc::clone(&snapshot),
         link_bytes_per_ms: LINK_BYTES_PER_MS,
--- a/crates/edge/tests/test_quota.rs
+++ b/crates/edge/tests/test_quota.rs
@@ -460,6 +460,7 @@
     Rc::new(CallerGateway::new(GatewayParts {
         node: "n-1".into(),
         zone: "z".into(),
+        reload_settings: Rc::new(|| ()),
         gate: Rc::new(gate),
         snapshot: Rc::clone(snapshot),
         link_bytes_per_ms: 1_250.0,
