edge, http: decide the origin of an upload when it begins

What callers saw: a request whose body arrived while the service of its instance changed ran with the later service as its origin. The platform's rule asks for that of the instance where the request began.

Cause: the origin was decided when the whole request had arrived.

Evidence: origin_upload_is_that_of_its_beginning failed before: a request whose first byte came under "front" and whose last byte came under "back" was stated as "back".

Change: HttpListener calls a function when the headers of a request have arrived, and the gateway marks the request there. Other agents' headers in a caller's request, so also a forged origin, are removed first; the test sends one.

Related paths: attempts after the first keep the origin (serve_retried_keeps_origin_of_its_beginning, which passes on the code before too); calls of the backend server come through the same listener and function; no log line and no metric names the origin.

Result: both tests and those of jy-edge's gateway, keys and agents as processes pass.

--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -15,6 +15,7 @@
 use jy_http::message::HttpResponse;
 use jy_http::message::header_text;
 use jy_http::pool::ConnectionPool;
+use jy_http::server::BeginFn;
 use jy_http::server::EssentialFn;
 use jy_http::server::Handler;
 use jy_http::server::HttpListener;
@@ -384,6 +385,8 @@
             snapshot: Rc::clone(&self.snapshot),
         });
         let caller_limits: LimitsFn = Rc::new(move || agent.caller_limits());
+        let gateway = Rc::clone(&self.gateway);
+        let begin: BeginFn = Rc::new(move |headers| gateway.begin(headers));
         let peer_limits: LimitsFn = Rc::new(|| ReadLimits {
             idle_ms: PEER_IDLE_TIMEOUT_MS,
             ..DEFAULT_LIMITS
@@ -420,7 +423,8 @@
         // The agents' own messages keep leases and records alive. They are small and follow from no caller's load.
         let is_essential: EssentialFn = Rc::new(|headers| !forward::has_forwarded_mark(headers));
         let callers = HttpListener::new(callers, caller_limits)
-            .with_memory(Rc::clone(&self.memory), refuse_caller);
+            .with_memory(Rc::clone(&self.memory), refuse_caller)
+            .with_begin(begin);
         let gates = HttpListener::new(gates, Rc::clone(&peer_limits))
             .with_memory(Rc::clone(&self.memory), refuse_peer)
             .with_essential(is_essential);
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -304,7 +304,7 @@
     let (left_ms, objective_ms) = (job.deadline.since(now), job.objective.since(now));
     set_header(headers, ROUTE_HEADER, &job.route);
     set_header(headers, SERVICE_HEADER, &job.service);
-    set_header(headers, ORIGIN_HEADER, &job.origin);
+    set_origin(headers, &job.origin);
     set_header(headers, LEFT_MS_HEADER, &left_ms.to_string());
     set_header(headers, OBJECTIVE_MS_HEADER, &objective_ms.to_string());
     if let Some(key) = job.key {
@@ -322,6 +322,18 @@
     }
 }
 
+/// Sets the service of the instance whose gateway received the request.
+pub(crate) fn set_origin(headers: &mut HeaderMap, origin: &str) {
+    set_header(headers, ORIGIN_HEADER, origin);
+}
+
+/// Removes the service that [`set_origin`] has set, and returns it.
+pub(crate) fn take_origin(headers: &mut HeaderMap) -> Option<Name> {
+    let origin = header_text(headers, ORIGIN_HEADER).map(Name::from);
+    headers.remove(ORIGIN_HEADER);
+    origin
+}
+
 /// Decodes a job from an HTTP request. Returns `None` if a required header is missing or invalid.
 #[must_use]
 pub fn decode_job(mut request: HttpRequest, id: Name, received_at: Millis) -> Option<GateJob> {
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -9,6 +9,7 @@
 
 use actix_http::StatusCode;
 use actix_http::header;
+use actix_http::header::HeaderMap;
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
@@ -218,8 +219,9 @@
             metrics: Rc::clone(&self.metrics),
             is_answered: false,
         };
+        let origin = forward::take_origin(&mut request.headers).unwrap_or_else(|| self.origin());
         forward::remove_peer_headers(&mut request.headers);
-        let response = match self.route_request(request, received_at) {
+        let response = match self.route_request(request, origin, received_at) {
             Ok(call) => self.serve_routed(call).await,
             Err(response) => response,
         };
@@ -227,6 +229,24 @@
         response
     }
 
+    /// Marks a caller's request, of which only the headers have arrived, with its origin. Its body may take seconds, and
+    /// another service may be on the instance by then.
+    pub fn begin(&self, headers: &mut HeaderMap) {
+        forward::remove_peer_headers(headers);
+        forward::set_origin(headers, &self.origin());
+    }
+
+    /// Returns the service that the instance has now.
+    fn origin(&self) -> Name {
+        // The file may have changed since it was last read, and nothing may have been announced since.
+        (self.reload_settings)();
+        let snapshot = self.snapshot.borrow();
+        let routes = snapshot.routes.as_ref();
+        let is_known =
+            |service: &str| routes.is_some_and(|routes| routes.services.contains_key(service));
+        self.gate.backend.service(is_known)
+    }
+
     /// Finds the route and the service of a request.
     ///
     /// # Errors
@@ -236,6 +256,7 @@
     fn route_request(
         &self,
         mut request: HttpRequest,
+        origin: Name,
         received_at: Millis,
     ) -> Result<Box<CallState>, HttpResponse> {
         let caller_headers = headers::read_caller_headers(&request.headers);
@@ -301,10 +322,6 @@
                 deadline,
             ));
         };
-        // The file may have changed since it was last read, and nothing may have been announced since.
-        (self.reload_settings)();
-        let is_known = |service: &str| routes.services.contains_key(service);
-        let origin = self.gate.backend.service(is_known);
         let job = GateJob {
             request,
             id,
--- a/crates/edge/tests/test_agent_process/services.rs
+++ b/crates/edge/tests/test_agent_process/services.rs
@@ -11,10 +11,14 @@
 use jy_kernel::clock;
 use jy_platform_standins::announce;
 use jy_platform_standins::announce::AnnouncedBackend;
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::fleet::AgentFleet;
+use crate::fleet::HOST;
 use crate::fleet::ServeFn;
 use crate::fleet::whole_response;
 
@@ -25,6 +29,8 @@
 const INTERVAL_MS: u64 = 430;
 /// Number of requests after each replacement.
 const REQUESTS: u64 = 4;
+/// Time limit for the response to an upload.
+const READ_LIMIT: Duration = Duration::from_secs(5);
 
 /// Starts a fleet whose backend server answers everything. Returns it with the services that requests stated.
 ///
@@ -123,3 +129,38 @@
         expect_that!(stated.take(), elements_are![eq("back")]);
     });
 }
+
+/// Guards against an upload that states the service of a backend server that came after it began: the origin was taken
+/// when the body was complete. Nor does the header count by which agents tell each other the origin.
+#[gtest]
+fn origin_upload_is_that_of_its_beginning() {
+    actix_rt::System::new().block_on(async {
+        let (fleet, stated) = start_fleet().await;
+        let agent = &fleet.agents[0];
+        let head = format!(
+            "POST /safe/x HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {}\r\njy-origin: forged\r\ncontent-length: 2\r\n\r\n",
+            fleet.next_id()
+        );
+        let mut stream = TcpStream::connect(agent.caller)
+            .await
+            .expect("failed to connect");
+        stream
+            .write_all(format!("{head}a").as_bytes())
+            .await
+            .expect("failed to write the beginning");
+        sleep(Duration::from_millis(INTERVAL_MS)).await;
+        agent.set_backend("back", agent.backend);
+        // The agent has applied the settings once another request states them.
+        let result = fleet.send(agent, "/safe/x", Bytes::new()).await;
+        expect_that!(result.is_ok(), eq(true));
+        stream
+            .write_all(b"b")
+            .await
+            .expect("failed to write the end");
+        let mut response = [0; 12];
+        let read = timeout(READ_LIMIT, stream.read_exact(&mut response)).await;
+        expect_that!(read.is_ok_and(|read| read.is_ok()), eq(true));
+        expect_that!(response, eq(*b"HTTP/1.1 200"));
+        expect_that!(stated.take(), elements_are![eq("back"), eq("front")]);
+    });
+}
--- a/crates/edge/tests/test_gateway.rs
+++ b/crates/edge/tests/test_gateway.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway: which agent it asks, and what it answers the caller.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -54,6 +55,7 @@
 use jy_types::tenant::TenantRule;
 use jy_types::tenant::TenantTable;
 use jy_types::time::Millis;
+use jy_types::time::WallMillis;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -165,6 +167,17 @@
     }
 }
 
+/// Adds an agent like the other one, with its gate at `gate`.
+fn snapshot_with_second(mut snapshot: FleetSnapshot, gate: SocketAddr) -> FleetSnapshot {
+    let mut second = snapshot.instances["other"].clone();
+    let mut record = (*second.record).clone();
+    record.node = "second".into();
+    record.gate = gate;
+    second.record = Rc::new(record);
+    snapshot.instances.insert("second".into(), second);
+    snapshot
+}
+
 /// Builds a gateway with the given snapshot and no backend server beside it.
 fn gateway(snapshot: FleetSnapshot) -> Rc<CallerGateway> {
     gateway_with_slack(snapshot, 50.0)
@@ -419,7 +432,7 @@
 /// caller's answer and the paths that the other agent was asked for.
 fn serve_upload(answer: impl Fn(&str) -> HttpResponse + 'static) -> (HttpResponse, Vec<String>) {
     actix_rt::System::new().block_on(async {
-        let paths = Rc::new(std::cell::RefCell::new(Vec::new()));
+        let paths = Rc::new(RefCell::new(Vec::new()));
         let seen = Rc::clone(&paths);
         let answer = Rc::new(answer);
         let gate = serve_gate(Rc::new(move |request: HttpRequest, _| {
@@ -508,13 +521,7 @@
         }
         let mut routes = routes(false, true);
         routes.routes[0].objective_ms = 200;
-        let mut snapshot = snapshot(routes, gates[0], None);
-        let mut second = snapshot.instances["other"].clone();
-        let mut record = (*second.record).clone();
-        record.node = "second".into();
-        record.gate = gates[1];
-        second.record = Rc::new(record);
-        snapshot.instances.insert("second".into(), second);
+        let snapshot = snapshot_with_second(snapshot(routes, gates[0], None), gates[1]);
         // With two agents this allows one hedge and no retry after it.
         let gateway = gateway_with_slack(snapshot, 7.0);
         let request = HttpRequest::new(Method::GET, "/p/x")
@@ -621,7 +628,7 @@
 fn serve_retry_objective_counts_from_first_attempt() {
     let left = |routes: RouteTable| {
         actix_rt::System::new().block_on(async {
-            let jobs = Rc::new(std::cell::RefCell::new(Vec::new()));
+            let jobs = Rc::new(RefCell::new(Vec::new()));
             let recorded = Rc::clone(&jobs);
             let gate = serve_gate(Rc::new(move |request: HttpRequest, received_at| {
                 let job = decode_job(request, "r1".into(), received_at);
@@ -728,13 +735,7 @@
         ];
         let mut routes = routes(false, true);
         routes.routes[0].objective_ms = objective_ms;
-        let mut snapshot = snapshot(routes, gates[0], None);
-        let mut second = snapshot.instances["other"].clone();
-        let mut record = (*second.record).clone();
-        record.node = "second".into();
-        record.gate = gates[1];
-        second.record = Rc::new(record);
-        snapshot.instances.insert("second".into(), second);
+        let snapshot = snapshot_with_second(snapshot(routes, gates[0], None), gates[1]);
         let request = HttpRequest::new(Method::GET, "/p/x")
             .with_header("host", "h.example")
             .with_header("x-request-id", "r1")
@@ -755,6 +756,41 @@
     expect_that!(hedged, (eq(StatusCode::OK), lt(1_000)));
 }
 
+/// Guards against a retry that states another origin than the first attempt: the service of the instance changed between
+/// them, after the request had begun.
+#[gtest]
+fn serve_retried_keeps_origin_of_its_beginning() {
+    actix_rt::System::new().block_on(async {
+        let backend = LocalBackend::new("own".into(), Millis(0), 10_000, 1_000);
+        let backend = Rc::new(backend.with_service(WallMillis(1), "front".into()));
+        let stated: Rc<RefCell<Vec<Option<String>>>> = Rc::default();
+        let (changed_backend, seen) = (Rc::clone(&backend), Rc::clone(&stated));
+        let handler: Handler = Rc::new(move |request, _| {
+            let origin = header_text(&request.headers, "jy-origin").map(str::to_owned);
+            seen.borrow_mut().push(origin);
+            changed_backend.set_service(WallMillis(2), "back".into());
+            let report = GateReport::not_run(NotRunCause::Disowned, 0, None);
+            Box::pin(async move { encode_report(report) })
+        });
+        let gates = [
+            serve_gate(Rc::clone(&handler)).await,
+            serve_gate(handler).await,
+        ];
+        let snapshot = snapshot(routes(false, true), gates[0], None);
+        let snapshot = snapshot_with_second(snapshot, gates[1]);
+        let unused_address = SocketAddr::from(([127, 0, 0, 1], 9));
+        let gateway = gateway_beside(snapshot, Rc::clone(&backend), unused_address, 50.0);
+        let request = HttpRequest::new(Method::GET, "/p/x")
+            .with_header("host", "h.example")
+            .with_header("x-request-id", "r1")
+            .with_header("x-deadline-ms", "1000");
+        gateway.serve(request, clock::now()).await;
+        let states_front = || some(eq("front"));
+        expect_that!(stated.take(), elements_are![states_front(), states_front()]);
+        expect_that!(&*backend.configured_service(), eq("back"));
+    });
+}
+
 /// Guards against large failures that are kept while the next attempts wait for the memory that they take.
 #[gtest]
 fn serve_large_failures_are_not_kept_until_deadline() {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -66,6 +66,9 @@
 /// Returns the response to a request for which there is no memory.
 pub type RefuseFn = Rc<dyn Fn() -> HttpResponse>;
 
+/// Called with the headers of a request when they have arrived, before its body. May add headers for the handler.
+pub type BeginFn = Rc<dyn Fn(&mut HeaderMap)>;
+
 /// Whether the request with these headers is to be handled also without memory, if its body is small.
 pub type EssentialFn = Rc<dyn Fn(&HeaderMap) -> bool>;
 
@@ -82,6 +85,7 @@
     memory: Rc<MemoryBudget>,
     refuse: RefuseFn,
     is_essential: Option<EssentialFn>,
+    begin: Option<BeginFn>,
     write_timeout_ms: u64,
 }
 
@@ -131,6 +135,7 @@
                     .with_header("retry-after", DEFAULT_RETRY_S)
             }),
             is_essential: None,
+            begin: None,
             write_timeout_ms: WRITE_TIMEOUT_MS,
         }
     }
@@ -151,6 +156,13 @@
         self
     }
 
+    /// Sets what is called when the headers of a request have arrived.
+    #[must_use]
+    pub fn with_begin(mut self, begin: BeginFn) -> Self {
+        self.begin = Some(begin);
+        self
+    }
+
     /// Sets after how long a caller is disconnected that reads nothing of its response, in milliseconds.
     #[must_use]
     pub const fn with_write_timeout_ms(mut self, write_timeout_ms: u64) -> Self {
--- a/crates/http/src/server/connection.rs
+++ b/crates/http/src/server/connection.rs
@@ -200,6 +200,9 @@
         let Message::Item(mut request) = self.read_message(limits, free_bytes).await? else {
             return Err(ReadError::Refused(StatusCode::BAD_REQUEST));
         };
+        if let Some(begin) = &listener.begin {
+            begin(request.headers_mut());
+        }
         self.is_head_request = request.method() == Method::HEAD;
         self.head_bytes = self.decoded_bytes;
         self.head_share.set_to(self.head_bytes + self.buffer.len());
