edge: log the origin of requests

Which origin a request was stated with could only be seen at the backend server that ran it. The gateway's line of a request now names it, as `origin`, between `route` and `service`. With the `reload` lines it tells a late reading of the settings file from a late announcement.

--- a/crates/edge/src/gateway/outcome.rs
+++ b/crates/edge/src/gateway/outcome.rs
@@ -23,10 +23,11 @@
         self.request_log.write(now, is_success, || {
             let snapshot = self.snapshot.borrow();
             format!(
-                "id={} route={} service={} key={:?} status={status} outcome={outcome_name} last={} \
+                "id={} route={} origin={} service={} key={:?} status={status} outcome={outcome_name} last={} \
                  asked={:?} offered={} elapsed_ms={elapsed_ms} beliefs={} configuration={} call={} age_ms={}{}",
                 call.job.id,
                 call.rule.name,
+                call.job.origin,
                 call.job.service,
                 call.job.key,
                 call.last_failure,
