--- a/crates/edge/tests/test_agent_process/services.rs
+++ b/crates/edge/tests/test_agent_process/services.rs
@@ -53,6 +53,18 @@
     (AgentFleet::start(serve).await, stated)
 }
 
+/// Sends requests to the first agent, and expects that all state `service`.
+async fn expect_origin(fleet: &AgentFleet, stated: &RefCell<Vec<String>>, service: &str) {
+    for _ in 0..REQUESTS {
+        let result = fleet.send(&fleet.agents[0], "/safe/x", Bytes::new()).await;
+        expect_that!(result.is_ok(), eq(true), "{service}");
+    }
+    let services = stated.take();
+    let is_stated = services.iter().all(|stated| stated == service);
+    expect_that!(is_stated, eq(true), "{service}: {services:?}");
+    expect_that!(services.len() as u64, ge(REQUESTS));
+}
+
 /// Guards against requests that state the service of a backend server that is gone: its address went to another service,
 /// the agent had acknowledged that one's first announcement, and stated the former service until it next read its settings.
 #[gtest]
@@ -70,14 +82,7 @@
             };
             let request = announce::announcement(&backend, clock::wall_now().0, 1);
             agent.report(&request).await;
-            for _ in 0..REQUESTS {
-                let result = fleet.send(agent, "/safe/x", Bytes::new()).await;
-                expect_that!(result.is_ok(), eq(true), "replacement {number}");
-            }
-            let services = stated.take();
-            let is_stated = services.iter().all(|stated| stated == service);
-            expect_that!(is_stated, eq(true), "{service}: {services:?}");
-            expect_that!(services.len() as u64, ge(REQUESTS));
+            expect_origin(&fleet, &stated, service).await;
             sleep(Duration::from_millis(INTERVAL_MS)).await;
         }
     });
@@ -93,14 +98,7 @@
         for number in 0..REPLACEMENTS {
             let service = SERVICES[number as usize % SERVICES.len()];
             agent.set_backend(service, agent.backend);
-            for _ in 0..REQUESTS {
-                let result = fleet.send(agent, "/safe/x", Bytes::new()).await;
-                expect_that!(result.is_ok(), eq(true), "replacement {number}");
-            }
-            let services = stated.take();
-            let is_stated = services.iter().all(|stated| stated == service);
-            expect_that!(is_stated, eq(true), "{service}: {services:?}");
-            expect_that!(services.len() as u64, ge(REQUESTS));
+            expect_origin(&fleet, &stated, service).await;
             sleep(Duration::from_millis(INTERVAL_MS)).await;
         }
     });
