edge: end the connections of the played backend server by a shutdown

The played backend server closed its socket to end the connection. Tests of the same process start agents meanwhile, and a child has a copy of each socket until it executes its program. If it is short of processor time, the connection is still open when the next request is sent on it. Nobody reads that, and the end of the copy resets it.

The played backend server shuts the connection down, so that its end is on its way before the next request is. All checks are as they were.

--- a/crates/edge/tests/test_agent_process/broken_responses.rs
+++ b/crates/edge/tests/test_agent_process/broken_responses.rs
@@ -34,6 +34,8 @@
 const LARGE_BYTES: usize = 8 * 1024 * 1024;
 /// Number of endless responses at the same time.
 const ENDLESS_RESPONSES: usize = 16;
+/// Number of lines of the second agent's log that are printed with a failure.
+const LOG_LINES: usize = 10;
 /// Time in which an agent sends whatever it sends for a request, in milliseconds.
 const QUIET_MS: u64 = 300;
 
@@ -55,6 +57,9 @@
             let sends = fleet.requests.borrow().len();
             let most_sends = if route == "safe" { 2 } else { 1 };
             expect_that!(sends, all![ge(1), le(most_sends)], "{case}");
+            if !(1..=most_sends).contains(&sends) {
+                println!("{case}:\n{}", fleet.agents[1].last_log_lines(LOG_LINES));
+            }
         }
     }
 }
@@ -72,7 +77,7 @@
 /// of the request's id.
 type SharedResponse = Rc<RefCell<String>>;
 
-/// Starts a fleet whose backend server sends the returned response and closes the connection.
+/// Starts a fleet whose backend server sends the returned response and ends the connection.
 async fn start_responding() -> (AgentFleet, SharedResponse) {
     let response = SharedResponse::default();
     let text = Rc::clone(&response);
@@ -82,6 +87,9 @@
         Box::pin(async move {
             // The agent may have given the request up.
             let _written = stream.write_all(text.as_bytes()).await;
+            // Closing is not enough: an agent that is being started has a copy of the socket until it executes its program,
+            // and the connection stays open until then.
+            let _ended = stream.shutdown().await;
         })
     });
     (AgentFleet::start(serve).await, response)
--- a/crates/edge/tests/test_agent_process/fleet.rs
+++ b/crates/edge/tests/test_agent_process/fleet.rs
@@ -171,6 +171,13 @@
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log_path).unwrap_or_default()
     }
+
+    /// Returns the last lines of the log, at most `count`.
+    pub fn last_log_lines(&self, count: usize) -> String {
+        let log = self.log();
+        let lines: Vec<&str> = log.lines().collect();
+        lines[lines.len().saturating_sub(count)..].join("\n")
+    }
 }
 
 impl Drop for AgentProcess {
