--- a/crates/edge/src/app.rs
+++ b/crates/edge/src/app.rs
@@ -386,7 +386,7 @@
         });
         let caller_limits: LimitsFn = Rc::new(move || agent.caller_limits());
         let gateway = Rc::clone(&self.gateway);
-        let begin: BeginFn = Rc::new(move |headers| gateway.begin(headers));
+        let begin: BeginFn = Rc::new(move |headers| gateway.mark_origin(headers));
         let peer_limits: LimitsFn = Rc::new(|| ReadLimits {
             idle_ms: PEER_IDLE_TIMEOUT_MS,
             ..DEFAULT_LIMITS
--- a/crates/edge/src/gateway.rs
+++ b/crates/edge/src/gateway.rs
@@ -231,7 +231,7 @@
 
     /// Marks a caller's request, of which only the headers have arrived, with its origin. Its body may take seconds, and
     /// another service may be on the instance by then.
-    pub fn begin(&self, headers: &mut HeaderMap) {
+    pub fn mark_origin(&self, headers: &mut HeaderMap) {
         forward::remove_peer_headers(headers);
         forward::set_origin(headers, &self.origin());
     }
