http: order the events of a test by messages, not by sleeps

send_closed_connection_is_replaced_without_a_poll slept while the server closed its connection, so that a server short of processor time for 50 ms would have failed it. The server now closes when it is told to and confirms it, and the test blocks its thread until then; what it checks is the same. It never failed so.

--- a/crates/http/tests/test_pool.rs
+++ b/crates/http/tests/test_pool.rs
@@ -5,7 +5,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::sync::mpsc;
 
 use actix_http::Method;
 use actix_http::StatusCode;
@@ -27,9 +27,6 @@
     max_bytes_per_ms: None,
 };
 
-/// Time in which a server certainly has closed a connection after its response.
-const CLOSE_TIME: Duration = Duration::from_millis(100);
-
 /// Starts a server that refuses the first request of all, writes that refusal once more before its next response
 /// on the same connection, and answers all other requests. Returns its address and its number of connections.
 ///
@@ -141,12 +138,17 @@
     });
 }
 
-/// Serves the requests `a` and `b`, each on its own connection, and closes both.
+/// Serves the requests `a` and `b`, each on its own connection. Closes the first when `close_requests` says so, and confirms
+/// that with `closed`.
 ///
 /// # Errors
 ///
 /// The error of the listener or of a connection.
-fn serve_and_close(listener: &std::net::TcpListener) -> std::io::Result<()> {
+fn serve_and_close(
+    listener: &std::net::TcpListener,
+    close_requests: &mpsc::Receiver<()>,
+    closed: &mpsc::Sender<()>,
+) -> std::io::Result<()> {
     for id in ["a", "b"] {
         let (mut stream, _) = listener.accept()?;
         let mut buffer = [0_u8; 1_024];
@@ -155,8 +157,10 @@
             stream,
             "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 2\r\n\r\nok"
         )?;
-        // The client reads the response before the end.
-        std::thread::sleep(CLOSE_TIME / 2);
+        // After the second response, the test has dropped its ends.
+        let _is_requested = close_requests.recv().is_ok();
+        drop(stream);
+        let _is_confirmed = closed.send(()).is_ok();
     }
     Ok(())
 }
@@ -168,14 +172,18 @@
     actix_rt::System::new().block_on(async {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("failed to bind a port");
         let address = listener.local_addr().expect("failed to get the address");
-        let server = std::thread::spawn(move || serve_and_close(&listener));
+        let (close, close_requests) = mpsc::channel();
+        let (confirm, closed) = mpsc::channel();
+        let server =
+            std::thread::spawn(move || serve_and_close(&listener, &close_requests, &confirm));
         let pool = ConnectionPool::new();
         let first = send(&pool, address, "a").await;
+        close.send(()).expect("the server serves the connection");
         // Blocks the thread, so that the runtime sees no event.
-        std::thread::sleep(CLOSE_TIME);
+        closed.recv().expect("the server closes the connection");
         let second = send(&pool, address, "b").await;
         expect_that!([first.status, second.status], eq([StatusCode::OK; 2]));
-        drop(pool);
+        drop((pool, close, closed));
         expect_that!(server.join().is_ok_and(|served| served.is_ok()), eq(true));
     });
 }
