review: answers that are read slowly are cut by a stop

An agent that is stopped by SIGTERM passes on requests that it can't finish, and ends while their answers are still being read, within grace_s and their time limits.

--- a/review/cases-3/src/main.rs
+++ b/review/cases-3/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod record;
 mod slow_endpoint;
+mod slow_reader;
 mod wire;
 
 use std::path::PathBuf;
@@ -24,6 +25,7 @@
     let path = PathBuf::from(folder).join("record.txt");
     let result = actix_rt::System::new().block_on(async {
         match &*name {
+            "slow-reader" => slow_reader::run(has_trouble, &path).await,
             "slow-endpoint" => slow_endpoint::run(has_trouble, &path).await,
             _ => Err(std::io::ErrorKind::InvalidInput.into()),
         }
