review: kept connections apply the limits of an earlier configuration

A larger max_body_bytes is not applied to the next request on a connection that was idle when it came into force: 413 for 12 of 12 orders, 0 of 12 on new connections.

--- a/review/cases-3/src/main.rs
+++ b/review/cases-3/src/main.rs
@@ -4,6 +4,7 @@
 //! rule was broken, 0 if it held, and 2 if the case couldn't run. With `TROUBLE=0` the disruption is left out.
 
 mod fleet;
+mod kept_limits;
 mod record;
 mod slow_endpoint;
 mod slow_reader;
@@ -27,6 +28,7 @@
         match &*name {
             "slow-reader" => slow_reader::run(has_trouble, &path).await,
             "slow-endpoint" => slow_endpoint::run(has_trouble, &path).await,
+            "kept-limits" => kept_limits::run(has_trouble, &path).await,
             _ => Err(std::io::ErrorKind::InvalidInput.into()),
         }
     });
