--- a/review/cases-3/src/fleet.rs
+++ b/review/cases-3/src/fleet.rs
@@ -27,6 +27,7 @@
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
+use serde_json::Value;
 use serde_json::json;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -43,23 +44,46 @@
 pub const HOST: &str = "press.example";
 /// Service of all endpoints.
 pub const SERVICE: &str = "pressroom";
-/// Zones of the machines, in turn.
-const ZONES: [&str; 3] = ["nord-tunis", "nord-ariana", "nord-benarous"];
-/// Bounds of `demands/atid-mesh-grown.toml`.
-const HEARTBEAT_MS: u64 = 870;
+/// Bounds that all sites share.
+pub const HEARTBEAT_MS: u64 = 870;
 const MAX_HOLD_MS: u64 = 10_000;
-const DRAIN_MS: u64 = 2_500;
 const GRACE_S: u64 = 6;
 const BUDGET_RATIO: f64 = 0.2;
-const BUDGET_SLACK: u64 = 160;
 const BUDGET_WINDOW_S: u64 = 10;
 const MEMORY_MB: u64 = 260;
-const LINK_MBPS: f64 = 200.0;
 const SLOTS: u32 = 9;
 const FIRST_VERSION: u64 = 12;
 /// Time in which a fleet must serve its first requests, in milliseconds.
 const START_MS: u64 = 20_000;
 
+/// What the settings of a site's machines have of their own.
+pub struct Site {
+    /// Zones of the machines, in turn.
+    pub zones: [&'static str; 3],
+    /// Bound `drain_ms`.
+    pub drain_ms: u64,
+    /// Bound `budget_slack`.
+    pub budget_slack: u64,
+    /// Speed of the machines' links.
+    pub link_mbps: f64,
+}
+
+/// As in `demands/atid-mesh-grown.toml`.
+const ATID_MESH: Site = Site {
+    zones: ["nord-tunis", "nord-ariana", "nord-benarous"],
+    drain_ms: 2_500,
+    budget_slack: 160,
+    link_mbps: 200.0,
+};
+
+/// As in `sites/cfsma-seals.toml`.
+pub const CFSMA_SEALS: Site = Site {
+    zones: ["kgn-a", "kgn-b", "kgn-c"],
+    drain_ms: 2_000,
+    budget_slack: 56,
+    link_mbps: 1_000.0,
+};
+
 /// Runs one request: gets the connection and the head of the request. Returns whether the connection can be used on.
 pub type RunFn =
     Rc<dyn Fn(TcpStream, MessageHead) -> Pin<Box<dyn Future<Output = Option<TcpStream>>>>>;
@@ -69,11 +93,15 @@
     /// Address for requesters, `outbound` in the settings of the platform.
     pub outbound: SocketAddr,
     /// Address for liveness reports.
-    control: SocketAddr,
+    pub control: SocketAddr,
     /// Address of the endpoint.
-    app: SocketAddr,
-    zone: &'static str,
-    name: String,
+    pub app: SocketAddr,
+    /// Its zone.
+    pub zone: &'static str,
+    /// Its name.
+    pub name: String,
+    settings: Value,
+    settings_path: PathBuf,
     process: RefCell<Child>,
 }
 
@@ -89,6 +117,19 @@
         kill_process(pid, signal)?;
         Ok(())
     }
+
+    /// Writes settings with another service of the endpoint. The file is replaced at once.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error if it can't be written.
+    pub fn write_settings(&self, service: &str) -> Result<()> {
+        let mut settings = self.settings.clone();
+        settings["service"] = service.into();
+        let next_path = self.settings_path.with_extension("next");
+        std::fs::write(&next_path, settings.to_string())?;
+        std::fs::rename(&next_path, &self.settings_path)
+    }
 }
 
 impl Drop for Machine {
@@ -106,9 +147,11 @@
     pub record: Rc<Record>,
     /// The machines.
     pub machines: Vec<Machine>,
+    /// The store.
+    pub store: Rc<StandinStore>,
+    store_address: SocketAddr,
     folder: PathBuf,
     next_id: Cell<u64>,
-    store: Rc<StandinStore>,
 }
 
 impl Fleet {
@@ -125,33 +168,49 @@
         receive_bytes: u32,
         run: RunFn,
     ) -> Result<Self> {
-        let record = Rc::new(Record::new());
-        let pid = std::process::id();
-        let [.., high, low] = pid.to_be_bytes();
-        let ip = |host: u8| IpAddr::V4(Ipv4Addr::new(127, 40 + host, high, low));
-        let store_address = SocketAddr::new(ip(0), 7_300);
-        let store = StandinStore::serve(store_address).await?;
-        configure(&store, FIRST_VERSION, limits);
-        let folder = std::env::temp_dir().join(format!("review-3-{pid}"));
-        std::fs::create_dir_all(&folder)?;
-        let mut machines = Vec::new();
-        for host in 1..=count {
-            machines.push(start_machine(ip(host), host, store_address, &folder)?);
+        let mut fleet = Self::create().await?;
+        fleet.configure(FIRST_VERSION, limits);
+        let services = vec![SERVICE; usize::from(count)];
+        fleet.start_machines(&ATID_MESH, &services)?;
+        for machine in &fleet.machines {
+            start_endpoint(machine, receive_bytes, &run, &fleet.record).await?;
         }
-        for machine in &machines {
-            start_endpoint(machine, receive_bytes, &run, &record).await?;
-        }
-        let fleet = Self {
-            record,
-            machines,
-            folder,
-            next_id: Cell::new(0),
-            store,
-        };
         fleet.wait_until_ready().await?;
         Ok(fleet)
     }
 
+    /// Starts the store alone.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error if it can't be started.
+    pub async fn create() -> Result<Self> {
+        let store_address = SocketAddr::new(machine_ip(0), 7_300);
+        let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        Ok(Self {
+            record: Rc::new(Record::new()),
+            machines: Vec::new(),
+            store: StandinStore::serve(store_address).await?,
+            store_address,
+            folder,
+            next_id: Cell::new(0),
+        })
+    }
+
+    /// Starts the agents of one machine for each of `services`, without endpoints.
+    ///
+    /// # Errors
+    ///
+    /// The I/O error if one can't be started.
+    pub fn start_machines(&mut self, site: &Site, services: &[&str]) -> Result<()> {
+        for (host, service) in (1_u8..).zip(services) {
+            let machine = start_machine(site, host, service, self.store_address, &self.folder)?;
+            self.machines.push(machine);
+        }
+        Ok(())
+    }
+
     /// Returns the id of the next request.
     pub fn next_id(&self) -> String {
         self.next_id.set(self.next_id.get() + 1);
@@ -271,15 +330,27 @@
     )
 }
 
+/// Returns the address of a machine; zero is the store's. Runs at the same time have other addresses.
+fn machine_ip(host: u8) -> IpAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, 40 + host, high, low))
+}
+
 /// Starts the agent of a machine with the command of the deploy file.
-fn start_machine(ip: IpAddr, host: u8, store: SocketAddr, folder: &Path) -> Result<Machine> {
-    let address = |port: u16| SocketAddr::new(ip, port);
-    let zone = ZONES[usize::from(host - 1) % ZONES.len()];
+fn start_machine(
+    site: &Site,
+    host: u8,
+    service: &str,
+    store: SocketAddr,
+    folder: &Path,
+) -> Result<Machine> {
+    let address = |port: u16| SocketAddr::new(machine_ip(host), port);
+    let zone = site.zones[usize::from(host - 1) % site.zones.len()];
     let name = format!("sidecar-{zone}-{host}");
     let settings = json!({
         "name": name,
         "zone": zone,
-        "service": SERVICE,
+        "service": service,
         "backend": address(7_200).to_string(),
         "listen": {
             "caller": address(7_100).to_string(),
@@ -289,16 +360,16 @@
             "metrics": address(7_104).to_string(),
         },
         "store": store.to_string(),
-        "link_mbps": LINK_MBPS,
+        "link_mbps": site.link_mbps,
         "memory_mb": MEMORY_MB,
         "log_level": "info",
         "bounds": {
             "announce_every_ms": HEARTBEAT_MS,
             "longest_grant_ms": MAX_HOLD_MS,
-            "drain_ms": DRAIN_MS,
+            "drain_ms": site.drain_ms,
             "grace_s": GRACE_S,
             "retry_ratio": BUDGET_RATIO,
-            "retry_slack": BUDGET_SLACK,
+            "retry_slack": site.budget_slack,
             "retry_window_s": BUDGET_WINDOW_S,
         },
     });
@@ -319,6 +390,8 @@
         app: address(7_200),
         zone,
         name,
+        settings,
+        settings_path,
         process: RefCell::new(process),
     })
 }
@@ -345,10 +418,7 @@
         Rc::clone(record),
     ));
     let (app, zone, control) = (machine.app, machine.zone, machine.control);
-    let born = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let born = u64::try_from(born.as_millis()).unwrap_or_default();
+    let born = wall_ms();
     actix_rt::spawn(async move {
         for sequence in 1_u64.. {
             let body = json!({
@@ -368,6 +438,12 @@
     Ok(())
 }
 
+/// Returns the Unix time in milliseconds.
+pub fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or_default()
+}
+
 /// Accepts the connections of an endpoint.
 async fn accept(listener: TcpListener, id: Rc<str>, run: RunFn, record: Rc<Record>) {
     while let Ok((stream, _)) = listener.accept().await {
--- a/review/cases-3/src/main.rs
+++ b/review/cases-3/src/main.rs
@@ -5,7 +5,9 @@
 
 mod fleet;
 mod kept_limits;
+mod owner;
 mod record;
+mod reused_address;
 mod slow_endpoint;
 mod slow_reader;
 mod wire;
@@ -28,6 +30,7 @@
         match &*name {
             "slow-reader" => slow_reader::run(has_trouble, &path).await,
             "slow-endpoint" => slow_endpoint::run(has_trouble, &path).await,
+            "reused-address" => reused_address::run(has_trouble, &path).await,
             "kept-limits" => kept_limits::run(has_trouble, &path).await,
             _ => Err(std::io::ErrorKind::InvalidInput.into()),
         }
--- a/review/cases-3/src/wire.rs
+++ b/review/cases-3/src/wire.rs
@@ -104,6 +104,21 @@
 ///
 /// The I/O error if there is no response in a second.
 pub async fn send_json(to: SocketAddr, method: &str, path: &str, body: &str) -> Result<u16> {
+    let (status, _) = exchange_json(to, method, path, body).await?;
+    Ok(status)
+}
+
+/// Sends a request with a JSON body on a new connection, and returns the status and the body of the response.
+///
+/// # Errors
+///
+/// The I/O error if there is no response in a second.
+pub async fn exchange_json(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> Result<(u16, Vec<u8>)> {
     let exchange = async {
         let mut stream = connect(to, 0).await?;
         let text = format!(
@@ -112,8 +127,13 @@
             body.len()
         );
         stream.write_all(text.as_bytes()).await?;
-        let head = read_head(&mut stream).await?;
-        Ok(head.map_or(0, |head| head.status()))
+        let Some(head) = read_head(&mut stream).await? else {
+            return Ok((0, Vec::new()));
+        };
+        let (status, size) = (head.status(), head.body_bytes());
+        let mut answer = head.rest;
+        while answer.len() < size && stream.read_buf(&mut answer).await? > 0 {}
+        Ok((status, answer))
     };
     let result = timeout(Duration::from_secs(1), exchange).await;
     result.unwrap_or_else(|_| Err(Error::from(ErrorKind::TimedOut)))
