--- a/review/cases-3/src/main.rs
+++ b/review/cases-3/src/main.rs
@@ -3,6 +3,7 @@
 //! Usage: `review-3 CASE FOLDER`, in the root of the repository. Writes `record.txt` to the folder. Exits with 1 if the
 //! rule was broken, 0 if it held, and 2 if the case couldn't run. With `TROUBLE=0` the disruption is left out.
 
+mod early_leave;
 mod fleet;
 mod kept_limits;
 mod owner;
@@ -31,6 +32,7 @@
             "slow-reader" => slow_reader::run(has_trouble, &path).await,
             "slow-endpoint" => slow_endpoint::run(has_trouble, &path).await,
             "reused-address" => reused_address::run(has_trouble, &path).await,
+            "early-leave" => early_leave::run(has_trouble, &path).await,
             "kept-limits" => kept_limits::run(has_trouble, &path).await,
             _ => Err(std::io::ErrorKind::InvalidInput.into()),
         }
