review: case 14 hands the address over without a gap

The stand-in closed its socket for a moment when its address was used again. Now the socket passes on; the address is used again after 2.1 s.

--- a/review/cases-3/src/owner.rs
+++ b/review/cases-3/src/owner.rs
@@ -50,6 +50,8 @@
 pub struct Owner {
     /// What it is.
     pub plan: OwnerPlan,
+    /// Its socket, until it ends or hands it over.
+    listener: RefCell<Option<Rc<TcpListener>>>,
     record: Rc<Record>,
     born: u64,
     started: Instant,
@@ -65,6 +67,7 @@
     has_left: Cell<bool>,
     /// Delay in transit of the next liveness report, in milliseconds.
     next_delay_ms: Cell<u64>,
+    accepting: RefCell<Option<JoinHandle<()>>>,
     tasks: RefCell<Vec<JoinHandle<()>>>,
 }
 
@@ -79,9 +82,20 @@
         plan: OwnerPlan,
         record: &Rc<Record>,
     ) -> Result<Rc<Self>> {
-        let listener = TcpListener::bind(machine.app).await?;
+        let listener = Rc::new(TcpListener::bind(machine.app).await?);
+        Ok(Self::start_on(listener, machine, plan, record))
+    }
+
+    /// Starts an endpoint that takes connections from a socket.
+    pub fn start_on(
+        listener: Rc<TcpListener>,
+        machine: &Machine,
+        plan: OwnerPlan,
+        record: &Rc<Record>,
+    ) -> Rc<Self> {
         let owner = Rc::new(Self {
             plan,
+            listener: RefCell::new(Some(Rc::clone(&listener))),
             record: Rc::clone(record),
             born: fleet::wall_ms(),
             started: Instant::now(),
@@ -94,6 +108,7 @@
             is_silent: Cell::new(false),
             has_left: Cell::new(false),
             next_delay_ms: Cell::new(0),
+            accepting: RefCell::default(),
             tasks: RefCell::default(),
         });
         let acceptor = Rc::clone(&owner);
@@ -121,8 +136,9 @@
                 sleep(Duration::from_millis(wait_ms)).await;
             }
         });
-        owner.tasks.borrow_mut().extend([accepting, reporting]);
-        Ok(owner)
+        owner.accepting.replace(Some(accepting));
+        owner.tasks.borrow_mut().push(reporting);
+        owner
     }
 
     /// Returns whether it holds a key now.
@@ -161,15 +177,25 @@
         self.runs.borrow().clone()
     }
 
+    /// Returns the socket, from which it takes no more connections. The others stay open, and silent if it is, as those to a
+    /// host that is gone.
+    pub fn hand_over(&self) -> Option<Rc<TcpListener>> {
+        if let Some(accepting) = self.accepting.take() {
+            accepting.abort();
+        }
+        self.listener.take()
+    }
+
     /// Ends its process, which closes its sockets.
     pub fn end(&self) {
+        drop(self.hand_over());
         for task in self.tasks.take() {
             task.abort();
         }
     }
 
     /// Takes connections. A silent endpoint leaves new ones unanswered.
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
+    async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         while let Ok((stream, _)) = listener.accept().await {
             let owner = Rc::clone(&self);
             let serving = actix_rt::spawn(async move { owner.serve(stream).await });
--- a/review/cases-3/src/reused_address.rs
+++ b/review/cases-3/src/reused_address.rs
@@ -39,7 +39,7 @@
 /// Time of traffic before the disruption.
 const BEFORE_MS: u64 = 5_000;
 /// Time from the crash to the next use of the address: `reuse_delay_s` is 2.
-const REUSE_MS: u64 = 2_500;
+const REUSE_MS: u64 = 2_100;
 /// Bound `recovery_s`, and how long requests are judged after it.
 const RECOVERY_MS: u64 = 15_000;
 const JUDGED_MS: u64 = 10_000;
@@ -140,7 +140,6 @@
         ));
         owners[index].fall_silent();
         sleep(Duration::from_millis(REUSE_MS)).await;
-        owners[index].end();
         let machine = &fleet.machines[index];
         let plan = OwnerPlan {
             id: format!("i-{}-next", machine.name),
@@ -153,10 +152,11 @@
             "disruption: the address goes to endpoint {} of {CATALOGUE}, and the settings of the machine say so",
             plan.id
         ));
-        // Its sockets close when its tasks have ended.
-        sleep(Duration::from_millis(1)).await;
         machine.write_settings(CATALOGUE)?;
-        replacement = Some(Owner::start(machine, plan, &fleet.record).await?);
+        // At no moment does the address refuse connections, as a host that is gone does not.
+        let listener = owners[index].hand_over();
+        let listener = listener.ok_or(std::io::ErrorKind::NotConnected)?;
+        replacement = Some(Owner::start_on(listener, machine, plan, &fleet.record));
     }
     let judged_from_ms = fleet.record.now_ms() + RECOVERY_MS;
     let judged_until_ms = judged_from_ms + JUDGED_MS;
